--- a/crates/core/src/args.rs
+++ b/crates/core/src/args.rs
@@ -23,6 +23,8 @@
         .arg(admin_key())
         .arg(json())
         .subcommand(serve())
+        .subcommand(edge())
+        .subcommand(storage())
         .subcommand(check())
         .subcommand(dev())
         .subcommand(profile())
@@ -90,6 +92,18 @@
         .arg(config())
 }
 
+fn edge() -> Command {
+    Command::new("edge")
+        .about("Run an entry instance on the users' platform")
+        .after_help("Settings come from the file that JAYREEL_NODE_FILE names.")
+}
+
+fn storage() -> Command {
+    Command::new("storage")
+        .about("Run an instance with a disk on the users' platform")
+        .after_help("Settings come from the file that JAYREEL_NODE_FILE names.")
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Check a settings file and print each fault with section and key")
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -7,6 +7,7 @@
 mod engine_link;
 mod instance;
 mod logging;
+mod node;
 mod observe;
 mod operator;
 mod peer_link;
@@ -25,6 +26,8 @@
     let matches = args::command().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
+        Some(("edge", _)) => node::run(node::Role::Edge),
+        Some(("storage", _)) => node::run(node::Role::Storage),
         Some(("dev", matches)) => dev::run(matches),
         Some(("check", matches)) => return check(matches),
         Some(("completions", matches)) => completions(matches),
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,49 @@
+//! `jayreel edge` and `jayreel storage`: one instance on the users' platform.
+
+use std::process::ExitCode;
+
+use eyre::WrapErr;
+use jayreel_gateway::{edge, storage};
+use jayreel_platform::{PlatformProtocol, PlatformStore};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+use crate::{EXIT_USAGE, logging};
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Role {
+    /// Takes callers' requests.
+    Edge,
+    /// Keeps data on its disk.
+    Storage,
+}
+
+/// Runs until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// If the settings are at fault or the instance cannot start.
+pub(crate) fn run(role: Role) -> eyre::Result<ExitCode> {
+    let settings = match jayreel_platform::read_settings() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::from(EXIT_USAGE));
+        }
+    };
+    logging::start_unblocking(log::LevelFilter::Info, &settings.name)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot start the event loop")?;
+    let store = Box::new(PlatformStore::new(settings.store));
+    let instance = async move {
+        match role {
+            Role::Edge => edge::run(settings, store, Box::new(PlatformProtocol)).await,
+            Role::Storage => storage::run(settings, store).await,
+        }
+    };
+    LocalSet::new().block_on(&runtime, instance)?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/gateway/src/clock.rs
@@ -0,0 +1,17 @@
+//! Time that also counts while the machine is suspended.
+//!
+//! Proofs of freshness and tokens of a rate must not outlive a suspension, which the
+//! monotonic clock leaves out.
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Milliseconds since the machine started, suspensions included. Never goes back.
+pub fn now_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * 1_000 + nanoseconds / 1_000_000
+}
+
+/// A source of time, for code that is tested without waiting.
+pub type Clock = fn() -> u64;
--- /dev/null
+++ b/crates/gateway/src/edge/call.rs
@@ -0,0 +1,449 @@
+//! The way of one request: who asks, whether it may run, where it runs, what follows.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use jayreel_ledger::{Decision, Reservation, TurnRecord};
+use rand::RngExt;
+
+use crate::balance::Pick;
+use crate::clock::now_ms;
+use crate::config::{CallKind, Configuration, Customer, Route};
+use crate::edge::Edge;
+use crate::edge::body::CallBody;
+use crate::edge::exchange::{Answered, Outgoing, send};
+use crate::edge::members::{FoundChain, Members};
+use crate::edge::refusal::{Ran, Refusal};
+use crate::edge::stream::{self, BudgetHold, StreamCall};
+use crate::edge::turn_cache::prompt;
+use crate::protocol::CallHead;
+use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
+
+/// With less time than this, in milliseconds, a request is not sent: an idle endpoint needs
+/// about as long for the shortest requests.
+const LEAST_TIME_MS: u64 = 10;
+
+/// Retry-After while the configuration is missing or too old, in milliseconds: the time
+/// between two reads of it.
+const STALE_RETRY_MS: u64 = 500;
+
+/// Retry-After while the group has no quorum, in milliseconds: its members are asked again
+/// that soon after a failure.
+const NO_QUORUM_RETRY_MS: u64 = 300;
+
+/// Retry-After while no endpoint has room, in milliseconds: about the length of a request.
+const NO_ROOM_RETRY_MS: u64 = 250;
+
+/// Retry-After while no endpoint can be reached, in milliseconds: the first pause of one that
+/// failed.
+const NO_ENDPOINT_RETRY_MS: u64 = 250;
+
+/// Tokens reserved for a turn that does not tell how many it generates at most.
+const DEFAULT_MOST_TOKENS: u32 = 4_096;
+
+/// Turns and the records of their programs are kept for longer than operators ask, in
+/// milliseconds, since clocks differ and a turn may be used while it runs out.
+const RETENTION_MARGIN_MS: u64 = 60_000;
+
+/// Size of an answer of a plain service that is held to be handed over whole, in bytes.
+const MOST_ANSWER_BYTES: usize = 16 << 20;
+
+/// A request that may run, with all that its sends need.
+pub(crate) struct Admitted {
+    pub route: Route,
+    pub service: String,
+    pub call: CallHead,
+    pub outgoing: Outgoing,
+    pub arrived_ms: u64,
+    /// Time from the arrival within which it must be answered, in milliseconds.
+    pub limit_ms: u64,
+    pub event_tokens: u32,
+}
+
+impl Admitted {
+    pub(crate) fn time_left_ms(&self) -> u64 {
+        let elapsed_ms = now_ms().saturating_sub(self.arrived_ms);
+        self.limit_ms.saturating_sub(elapsed_ms)
+    }
+
+    pub(crate) fn policy(&self) -> RetryPolicy {
+        RetryPolicy {
+            kind: self.route.kind,
+            max_attempts: self.route.max_attempts,
+        }
+    }
+
+    fn program(&self) -> Option<&str> {
+        self.call
+            .program
+            .as_ref()
+            .map(|program| program.id.as_str())
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn serve(
+    edge: Rc<Edge>,
+    request: Request<Incoming>,
+) -> Response<CallBody> {
+    let arrived_ms = now_ms();
+    let (parts, body) = request.into_parts();
+    let call = match edge.protocol.decode_call(&parts) {
+        Ok(call) => call,
+        Err(error) => {
+            log::info!("event=call_unreadable reason={error:?}");
+            edge.metrics.refused("unreadable");
+            return Refusal::denied(StatusCode::BAD_REQUEST, "unreadable").response();
+        }
+    };
+    let request_id = call.request_id.clone();
+    match admit_and_run(&edge, call, &parts, body, arrived_ms).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            edge.note_refusal(&request_id, &refusal, now_ms() - arrived_ms);
+            refusal.response()
+        }
+    }
+}
+
+async fn admit_and_run(
+    edge: &Rc<Edge>,
+    call: CallHead,
+    parts: &Parts,
+    body: Incoming,
+    arrived_ms: u64,
+) -> Result<Response<CallBody>, Refusal> {
+    let configuration = edge.configuration();
+    let route = find_route(edge, &configuration, &call, parts)?.clone();
+    let customer = find_customer(edge, &configuration, &route, &call, arrived_ms)?;
+    let limit_ms = call.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let service = choose_service(&route);
+    check_endpoints(edge, &service)?;
+    let body = read_body(&configuration, body, limit_ms).await?;
+    if let Some((name, customer)) = &customer {
+        edge.take_quota(name, customer.limit, configuration.version)
+            .await?;
+    }
+    let engine = configuration.services.get(&service).and_then(|s| s.engine);
+    let priority = customer
+        .as_ref()
+        .and_then(|(_, customer)| customer.priority);
+    let priority = priority.unwrap_or(route.priority).min(9);
+    let admitted = Admitted {
+        service,
+        outgoing: Outgoing {
+            method: parts.method.clone(),
+            uri: origin_form(parts),
+            headers: parts.headers.clone(),
+            body,
+            request_id: call.request_id.clone(),
+            customer: customer.map(|(name, _)| name),
+            priority: engine.map(|_| priority),
+        },
+        route,
+        call,
+        arrived_ms,
+        limit_ms,
+        event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+    };
+    match admitted.route.kind {
+        CallKind::Stream { .. } => run_stream(edge, admitted).await,
+        CallKind::Idempotent | CallKind::Once => run_plain(edge, &admitted).await,
+    }
+}
+
+/// The target of the request as an endpoint gets it: path and query as the caller sent them.
+fn origin_form(parts: &Parts) -> hyper::Uri {
+    let target = parts.uri.path_and_query().cloned();
+    target.map_or_else(|| parts.uri.clone(), hyper::Uri::from)
+}
+
+fn find_route<'a>(
+    edge: &Edge,
+    configuration: &'a Configuration,
+    call: &CallHead,
+    parts: &Parts,
+) -> Result<&'a Route, Refusal> {
+    match configuration.route(&call.host, parts.uri.path()) {
+        Some(route) => Ok(route),
+        None if edge.is_configuration_recent() => {
+            Err(Refusal::denied(StatusCode::NOT_FOUND, "no_route"))
+        }
+        None => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
+    }
+}
+
+/// The customer that holds the caller's key, unless the route is open to all.
+fn find_customer(
+    edge: &Edge,
+    configuration: &Configuration,
+    route: &Route,
+    call: &CallHead,
+    arrived_ms: u64,
+) -> Result<Option<(String, Customer)>, Refusal> {
+    if route.is_open || configuration.customers.is_empty() {
+        return Ok(None);
+    }
+    let revocation_ms = edge.settings.bounds.revocation_ms;
+    let is_fresh = edge.freshness.borrow().admits(arrived_ms, revocation_ms);
+    let key = call.key.as_deref();
+    match key.and_then(|key| configuration.customer_of(key)) {
+        _ if !is_fresh => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
+        Some((name, customer)) => Ok(Some((name.to_string(), customer))),
+        None if edge.is_configuration_recent() => {
+            Err(Refusal::denied(StatusCode::UNAUTHORIZED, "unknown_key"))
+        }
+        None => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
+    }
+}
+
+fn choose_service(route: &Route) -> String {
+    let total: u32 = route.services.iter().map(|share| share.weight).sum();
+    let mut point = rand::rng().random_range(0..total.max(1));
+    for share in &route.services {
+        match point.checked_sub(share.weight) {
+            Some(rest) => point = rest,
+            None => return share.service.clone(),
+        }
+    }
+    route.services[0].service.clone()
+}
+
+fn check_endpoints(edge: &Edge, service: &str) -> Result<(), Refusal> {
+    let balancer = edge.balancer.borrow();
+    match balancer.serves(service) {
+        false => Err(Refusal::not_now("no_endpoint", NO_ENDPOINT_RETRY_MS)),
+        true if balancer.is_overloaded(now_ms(), service) => {
+            Err(Refusal::not_now("overloaded", NO_ROOM_RETRY_MS))
+        }
+        true => Ok(()),
+    }
+}
+
+async fn read_body(
+    configuration: &Configuration,
+    body: Incoming,
+    limit_ms: u64,
+) -> Result<Bytes, Refusal> {
+    if hyper::body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    let limited = Limited::new(body, configuration.limits.body_bytes);
+    let reading =
+        tokio::time::timeout(Duration::from_millis(limit_ms), limited.collect());
+    match reading.await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(
+            Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        ),
+        Ok(Err(_)) => Err(Refusal::denied(StatusCode::BAD_REQUEST, "body_broken_off")),
+        Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "body_late")),
+    }
+}
+
+/// Runs a request of a plain service. The answer is handed over whole.
+async fn run_plain(
+    edge: &Rc<Edge>,
+    admitted: &Admitted,
+) -> Result<Response<CallBody>, Refusal> {
+    let mut attempt = Attempt::default();
+    let mut tried = Vec::new();
+    loop {
+        let pick = pick_endpoint(edge, admitted, &attempt, &tried)?;
+        tried.push(pick.id.clone());
+        let time_left_ms = admitted.time_left_ms();
+        let sent_ms = now_ms();
+        let answered = send(edge, &pick, &admitted.outgoing, None, time_left_ms).await;
+        let outcome = match answered {
+            Ok(answered) => match collect(edge, admitted, answered).await {
+                Some((answer, key)) => {
+                    let is_failure = answer.status().is_server_error();
+                    if !is_failure || !may_try_another(admitted, attempt) {
+                        edge.balancer.borrow_mut().succeed(
+                            now_ms(),
+                            key,
+                            now_ms() - sent_ms,
+                        );
+                        edge.note_answer(admitted, &pick, answer.status());
+                        return Ok(answer);
+                    }
+                    Outcome::Failed
+                }
+                None => {
+                    let outgoing = &admitted.outgoing;
+                    edge.endpoint_failed(&pick, outgoing, Outcome::Unknown, "broken off")
+                }
+            },
+            Err(outcome) => outcome,
+        };
+        match attempt.next(admitted.policy(), outcome) {
+            Step::SendAgain => {}
+            step => return Err(refusal_after(admitted, step)),
+        }
+    }
+}
+
+/// Whether an endpoint's own failure is worth another send.
+fn may_try_another(admitted: &Admitted, mut attempt: Attempt) -> bool {
+    attempt.next(admitted.policy(), Outcome::Failed) == Step::SendAgain
+        && admitted.time_left_ms() > 2 * LEAST_TIME_MS
+}
+
+/// The whole answer, or none if it broke off.
+async fn collect(
+    edge: &Edge,
+    admitted: &Admitted,
+    answered: Answered,
+) -> Option<(Response<CallBody>, crate::balance::EndpointKey)> {
+    let time_left = Duration::from_millis(admitted.time_left_ms());
+    let limited = Limited::new(answered.body, MOST_ANSWER_BYTES);
+    let collected = tokio::time::timeout(time_left, limited.collect()).await;
+    let content = collected.ok()?.ok()?.to_bytes();
+    let key = answered.lease.key();
+    let headers = edge.protocol.caller_headers(&answered.headers);
+    answered.lease.finish();
+    let mut response = Response::new(CallBody::Whole(Some(content)));
+    *response.status_mut() = answered.status;
+    *response.headers_mut() = headers;
+    Some((response, key))
+}
+
+/// Picks an endpoint, or says why the request is over.
+pub(crate) fn pick_endpoint(
+    edge: &Edge,
+    admitted: &Admitted,
+    attempt: &Attempt,
+    tried: &[String],
+) -> Result<Pick, Refusal> {
+    if admitted.time_left_ms() < LEAST_TIME_MS {
+        return Err(match attempt.may_have_run {
+            true => Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timed_out"),
+            false => Refusal::not_now("timed_out", NO_ROOM_RETRY_MS),
+        });
+    }
+    let program = admitted.program().unwrap_or_default();
+    let affinity = edge.affinity.borrow().get(program).cloned();
+    let balancer = edge.balancer.borrow();
+    let pick = balancer.pick(now_ms(), &admitted.service, affinity.as_deref(), tried);
+    pick.ok_or_else(|| match attempt.may_have_run {
+        true => Refusal::unknown(StatusCode::BAD_GATEWAY, "no_other_endpoint"),
+        false => Refusal::not_now("no_endpoint", NO_ENDPOINT_RETRY_MS),
+    })
+}
+
+/// The answer to the caller once no endpoint is tried any more.
+pub(crate) fn refusal_after(admitted: &Admitted, step: Step) -> Refusal {
+    match step {
+        Step::RefuseNotRun => Refusal::not_now("no_room", NO_ROOM_RETRY_MS),
+        _ if admitted.time_left_ms() < LEAST_TIME_MS => {
+            Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timed_out")
+        }
+        _ => Refusal::unknown(StatusCode::BAD_GATEWAY, "endpoint_failed"),
+    }
+}
+
+/// Runs a streamed request: a turn of a program, or a stream of its own.
+async fn run_stream(
+    edge: &Rc<Edge>,
+    mut admitted: Admitted,
+) -> Result<Response<CallBody>, Refusal> {
+    let input = admitted.outgoing.body.clone();
+    let (chain, hold) =
+        tokio::join!(assemble(edge, &admitted), reserve(edge, &admitted),);
+    let hold = hold?;
+    admitted.outgoing.body = chain?;
+    let keep = admitted.route.keeps_turns.then(|| TurnRecord {
+        turn: admitted.call.request_id.clone(),
+        customer: admitted.outgoing.customer.clone().unwrap_or_default(),
+        previous: admitted.call.previous_turn.clone(),
+        input,
+        output: Bytes::new(),
+        keep_ms: 2 * admitted.route.retention_ms + RETENTION_MARGIN_MS,
+    });
+    stream::run(StreamCall::new(edge, admitted, hold, keep)).await
+}
+
+/// The whole prompt of a turn.
+async fn assemble(edge: &Rc<Edge>, admitted: &Admitted) -> Result<Bytes, Refusal> {
+    let input = &admitted.outgoing.body;
+    if !admitted.route.keeps_turns {
+        return Ok(input.clone());
+    }
+    let mut chain = Vec::new();
+    let mut next = admitted.call.previous_turn.clone();
+    while let Some(turn) = next.take() {
+        let cached = edge.turns.borrow().get(&turn);
+        let record = match cached {
+            Some(record) => record,
+            None => fetch_chain(edge, &turn, chain.is_empty()).await?,
+        };
+        if record.customer != admitted.outgoing.customer.as_deref().unwrap_or_default() {
+            return Err(Refusal::denied(StatusCode::NOT_FOUND, "no_turn"));
+        }
+        next.clone_from(&record.previous);
+        chain.push(record);
+    }
+    Ok(prompt(&chain, input))
+}
+
+/// Reads a turn and those before it into the cache.
+async fn fetch_chain(
+    edge: &Rc<Edge>,
+    turn: &str,
+    is_newest: bool,
+) -> Result<Rc<TurnRecord>, Refusal> {
+    let no_quorum = Refusal::not_now("turns_unreachable", NO_QUORUM_RETRY_MS);
+    match edge.members.chain(turn).await {
+        Ok(FoundChain::Turns(turns)) => {
+            let newest = turns.first().cloned().map(Rc::new);
+            let mut cache = edge.turns.borrow_mut();
+            turns.into_iter().for_each(|record| cache.insert(record));
+            newest.ok_or(no_quorum)
+        }
+        Ok(FoundChain::Missing) if is_newest => {
+            Err(Refusal::denied(StatusCode::NOT_FOUND, "no_turn"))
+        }
+        Ok(FoundChain::Missing) | Err(_) => Err(no_quorum),
+    }
+}
+
+/// Reserves the turn's tokens in the budget of its program.
+async fn reserve(
+    edge: &Rc<Edge>,
+    admitted: &Admitted,
+) -> Result<Option<BudgetHold>, Refusal> {
+    let program = admitted.call.program.as_ref();
+    let budget = program.and_then(|program| Some((program, program.budget_tokens?)));
+    let Some((program, budget_tokens)) = budget else {
+        return Ok(None);
+    };
+    let customer = admitted.outgoing.customer.as_deref().unwrap_or_default();
+    let reservation = Reservation {
+        program: Members::program_key(customer, &program.id),
+        turn: admitted.call.request_id.clone(),
+        most_tokens: admitted.call.most_tokens.unwrap_or(DEFAULT_MOST_TOKENS),
+    };
+    let hold = BudgetHold::new(edge, &reservation);
+    match edge.members.reserve(&reservation, budget_tokens).await {
+        Ok(Decision::Admit) => Ok(Some(hold)),
+        Ok(Decision::Exhausted) => Err(Refusal::denied(
+            StatusCode::PAYMENT_REQUIRED,
+            "budget_exhausted",
+        )),
+        Ok(Decision::Reread) | Err(_) => {
+            Err(Refusal::not_now("budget_unreachable", NO_QUORUM_RETRY_MS))
+        }
+    }
+}
+
+impl Refusal {
+    /// Whether the caller may count on the request not having run.
+    pub(crate) fn is_promise(&self) -> bool {
+        self.ran == Ran::No
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/exchange.rs
@@ -0,0 +1,223 @@
+//! One send of a request to an endpoint.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+
+use crate::balance::{EndpointKey, Pick};
+use crate::clock::now_ms;
+use crate::edge::Edge;
+use crate::edge::pool::idle_ms;
+use crate::http_link::{HttpLink, SendError};
+use crate::protocol::{EndpointHeaders, EndpointReply};
+use crate::retry::Outcome;
+
+/// Time for a connection to an endpoint, in milliseconds: many times the way between the
+/// farthest zones and the time that a handshake takes there.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+
+/// What is sent, the same to each endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Outgoing {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub request_id: String,
+    pub customer: Option<String>,
+    pub priority: Option<u8>,
+}
+
+/// A connection that carries a request. Dropped before its answer is complete, it closes.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    edge: Rc<Edge>,
+    key: EndpointKey,
+    link: Option<HttpLink>,
+    idle_ms: u64,
+}
+
+impl Lease {
+    /// The answer is complete: the connection may carry another request.
+    pub(crate) fn finish(mut self) {
+        if let Some(link) = self.link.take() {
+            let mut pool = self.edge.pool.borrow_mut();
+            pool.put(now_ms(), self.key, link, self.idle_ms);
+        }
+    }
+
+    pub(crate) fn key(&self) -> EndpointKey {
+        self.key
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.edge.balancer.borrow_mut().end(self.key);
+    }
+}
+
+/// The head of an answer that can be used.
+pub(crate) struct Answered {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Incoming,
+    pub lease: Lease,
+}
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+///
+/// What became of the request if the answer cannot be used, or says that it has not run.
+pub(crate) async fn send(
+    edge: &Rc<Edge>,
+    pick: &Pick,
+    outgoing: &Outgoing,
+    last_event_id: Option<u64>,
+    time_left_ms: u64,
+) -> Result<Answered, Outcome> {
+    edge.balancer.borrow_mut().begin(pick.key);
+    let mut lease = Lease {
+        edge: Rc::clone(edge),
+        key: pick.key,
+        link: None,
+        idle_ms: 0,
+    };
+    let began_ms = now_ms();
+    let timeout = Duration::from_millis(time_left_ms);
+    let sent = tokio::time::timeout(timeout, async {
+        let mut link = connection(edge, pick).await?;
+        let request =
+            request(edge, pick, outgoing, last_event_id, began_ms, time_left_ms);
+        let response = link.send(request).await;
+        lease.link = Some(link);
+        response
+    });
+    let response = match sent.await {
+        Ok(Ok(response)) => response,
+        Ok(Err(SendError::NotSent(reason))) => {
+            return Err(edge.endpoint_failed(pick, outgoing, Outcome::NotSent, &reason));
+        }
+        Ok(Err(SendError::Lost(reason))) => {
+            return Err(edge.endpoint_failed(pick, outgoing, Outcome::Unknown, &reason));
+        }
+        Err(_) => {
+            return Err(edge.endpoint_failed(
+                pick,
+                outgoing,
+                Outcome::Unknown,
+                "timed out",
+            ));
+        }
+    };
+    examine(edge, pick, outgoing, response, lease)
+}
+
+async fn connection(edge: &Rc<Edge>, pick: &Pick) -> Result<HttpLink, SendError> {
+    let idle = edge.pool.borrow_mut().take(now_ms(), pick.key);
+    match idle {
+        Some(link) => Ok(link),
+        None => HttpLink::connect(pick.address, CONNECT_TIMEOUT_MS)
+            .await
+            .map_err(|error| SendError::NotSent(error.to_string())),
+    }
+}
+
+fn request(
+    edge: &Edge,
+    pick: &Pick,
+    outgoing: &Outgoing,
+    last_event_id: Option<u64>,
+    began_ms: u64,
+    time_left_ms: u64,
+) -> Request<Full<Bytes>> {
+    let connected_ms = now_ms().saturating_sub(began_ms);
+    let added = EndpointHeaders {
+        endpoint_id: &pick.id,
+        customer: outgoing.customer.as_deref(),
+        time_left_ms: time_left_ms.saturating_sub(connected_ms),
+        priority: outgoing.priority,
+        last_event_id,
+    };
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    *request.headers_mut() = edge.protocol.endpoint_headers(&outgoing.headers, &added);
+    request
+}
+
+/// Decides whether the answer belongs to the request and is the endpoint's own.
+fn examine(
+    edge: &Edge,
+    pick: &Pick,
+    outgoing: &Outgoing,
+    response: Response<Incoming>,
+    mut lease: Lease,
+) -> Result<Answered, Outcome> {
+    let (parts, body) = response.into_parts();
+    let reply = edge.protocol.decode_reply(parts.status, &parts.headers);
+    if let Some(load) = reply.load {
+        let mut balancer = edge.balancer.borrow_mut();
+        balancer.report(now_ms(), pick.key, load);
+    }
+    lease.idle_ms = idle_ms(&parts.headers);
+    let outcome = match outcome_of(&reply, parts.status, &outgoing.request_id) {
+        Some(outcome) => outcome,
+        None => {
+            return Ok(Answered {
+                status: parts.status,
+                headers: parts.headers,
+                body,
+                lease,
+            });
+        }
+    };
+    match outcome {
+        Outcome::Rejected => {
+            edge.balancer.borrow_mut().reject(now_ms(), pick.key);
+            edge.note_outcome(pick, outgoing, outcome, parts.status.as_str());
+            finish_rejected(body, lease);
+        }
+        _ => {
+            edge.endpoint_failed(pick, outgoing, outcome, parts.status.as_str());
+        }
+    }
+    Err(outcome)
+}
+
+/// Reads the rest of a rejection, so that its connection can be used again.
+fn finish_rejected(body: Incoming, lease: Lease) {
+    tokio::task::spawn_local(async move {
+        if http_body_util::BodyExt::collect(body).await.is_ok() {
+            lease.finish();
+        }
+    });
+}
+
+/// None if the answer can be handed to the caller. A status by which endpoints promise that
+/// a request has not run counts only with that promise.
+fn outcome_of(
+    reply: &EndpointReply,
+    status: StatusCode,
+    request_id: &str,
+) -> Option<Outcome> {
+    let is_own = reply.request_id.as_deref() == Some(request_id);
+    let is_promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    match status {
+        _ if reply.request_id.is_some() && !is_own => Some(Outcome::Unknown),
+        StatusCode::MISDIRECTED_REQUEST => Some(Outcome::Misdirected),
+        _ if reply.has_not_run => Some(Outcome::Rejected),
+        _ if is_promise => Some(Outcome::Unknown),
+        status if status.is_success() && !(reply.is_signed && is_own) => {
+            Some(Outcome::Unknown)
+        }
+        _ if reply.is_encoded || status.is_informational() => Some(Outcome::Unknown),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/members.rs
@@ -0,0 +1,345 @@
+//! Questions of an entry instance to the group of instances with disks.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use jayreel_ledger::{
+    Answer, Ask, Decision, Freshness, Group, Member, Phase, ProgramKey, QuotaWant,
+    Reservation, Settlement, Tally, TurnRecord, turn_digest,
+};
+
+use crate::link::{Link, LinkError};
+
+/// Time for an answer, in milliseconds: a sync of a disk that is busy, and the way there.
+const ASK_TIMEOUT_MS: u64 = 400;
+
+/// Time for an answer that needs no disk, in milliseconds.
+const QUICK_TIMEOUT_MS: u64 = 120;
+
+/// After this time without enough copies of a turn further members are asked, in
+/// milliseconds: a few syncs.
+const COPY_HEDGE_MS: u64 = 50;
+
+/// A finished turn that has not enough copies after this time is given up, in milliseconds.
+const COPY_TIMEOUT_MS: u64 = 1_200;
+
+/// The group did not answer in a way that decides.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct NoQuorum;
+
+/// Whether a turn exists.
+#[derive(Debug)]
+pub(crate) enum FoundChain {
+    /// Newest turn first, perhaps not to the beginning.
+    Turns(Vec<TurnRecord>),
+    /// No member can have it.
+    Missing,
+}
+
+/// Connections to the members.
+pub(crate) struct Members {
+    availability_zone: String,
+    group: RefCell<Rc<Group>>,
+    links: RefCell<HashMap<String, Rc<Link>>>,
+}
+
+impl Members {
+    pub(crate) fn new(availability_zone: &str) -> Members {
+        Members {
+            availability_zone: availability_zone.to_string(),
+            group: RefCell::default(),
+            links: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn group(&self) -> Rc<Group> {
+        Rc::clone(&self.group.borrow())
+    }
+
+    /// Learns a group. Older ones are ignored. Members hear of it, so that they close the
+    /// versions before.
+    pub(crate) fn adopt(self: &Rc<Self>, group: Group) {
+        if group.version <= self.group().version {
+            return;
+        }
+        log::info!(
+            "event=group_adopted version={} members={}",
+            group.version,
+            group.members.len()
+        );
+        *self.group.borrow_mut() = Rc::new(group);
+        let group = self.group();
+        for member in &group.members {
+            let members = Rc::clone(self);
+            let (group, member) = (Rc::clone(&group), member.clone());
+            tokio::task::spawn_local(async move {
+                let ask = Ask::Adopt(Group::clone(&group));
+                if let Err(error) = members.ask(&member, ask, QUICK_TIMEOUT_MS).await {
+                    log::debug!(
+                        "event=adopt_failed member={} reason={error}",
+                        member.name
+                    );
+                }
+            });
+        }
+    }
+
+    /// Members, those of the own availability zone first. The order of the others depends
+    /// on the key, so that load spreads.
+    pub(crate) fn in_order(&self, key: &str) -> Vec<Member> {
+        let mut members = self.group().members.clone();
+        members.sort_by_cached_key(|member| {
+            let is_remote = member.availability_zone != self.availability_zone;
+            (is_remote, turn_digest(&format!("{key}/{}", member.name)))
+        });
+        members
+    }
+
+    fn link(&self, member: &Member) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        let link = links.get(&member.name);
+        match link.filter(|link| link.address() == member.address) {
+            Some(link) => Rc::clone(link),
+            None => {
+                let link = Rc::new(Link::new(member.address));
+                links.insert(member.name.clone(), Rc::clone(&link));
+                link
+            }
+        }
+    }
+
+    pub(crate) async fn ask(
+        &self,
+        member: &Member,
+        ask: Ask,
+        timeout_ms: u64,
+    ) -> Result<Answer, LinkError> {
+        let link = self.link(member);
+        let group_version = self.group().version;
+        link.ask(group_version, ask, timeout_ms).await
+    }
+
+    /// Asks all members and collects charges until a quorum has answered.
+    async fn charges(
+        self: &Rc<Self>,
+        ask: &Ask,
+        timeout_ms: u64,
+        tally: &mut Tally,
+    ) -> Result<(), NoQuorum> {
+        let group = self.group();
+        let answers: FuturesUnordered<_> = group
+            .members
+            .iter()
+            .map(|member| self.spawn_ask(member.clone(), ask.clone(), timeout_ms))
+            .collect();
+        let mut answers = answers;
+        let mut count = 0;
+        while let Some(answer) = answers.next().await {
+            match answer {
+                Ok(Ok(Answer::Charges(charges))) => {
+                    tally.add(&charges);
+                    count += 1;
+                }
+                Ok(Ok(Answer::Closed(newer))) => {
+                    self.adopt(newer);
+                    return Err(NoQuorum);
+                }
+                _ => {}
+            }
+            if count >= group.quorum() {
+                return Ok(());
+            }
+        }
+        Err(NoQuorum)
+    }
+
+    /// Asks in a task of its own: the question is completed also if nobody waits any more.
+    fn spawn_ask(
+        self: &Rc<Self>,
+        member: Member,
+        ask: Ask,
+        timeout_ms: u64,
+    ) -> tokio::task::JoinHandle<Result<Answer, LinkError>> {
+        let members = Rc::clone(self);
+        tokio::task::spawn_local(
+            async move { members.ask(&member, ask, timeout_ms).await },
+        )
+    }
+
+    /// Reserves tokens for a turn. If the answer is not `Admit`, or there is none, the
+    /// caller must settle the turn with 0 tokens.
+    pub(crate) async fn reserve(
+        self: &Rc<Self>,
+        reservation: &Reservation,
+        budget_tokens: u64,
+    ) -> Result<Decision, NoQuorum> {
+        let mut result = self.reserve_once(reservation, budget_tokens).await;
+        if result.is_err() {
+            result = self.reserve_once(reservation, budget_tokens).await;
+        }
+        result
+    }
+
+    async fn reserve_once(
+        self: &Rc<Self>,
+        reservation: &Reservation,
+        budget_tokens: u64,
+    ) -> Result<Decision, NoQuorum> {
+        let mut tally = Tally::new(&reservation.turn);
+        let ask = Ask::Reserve(reservation.clone());
+        let version = self.group().version;
+        self.charges(&ask, ASK_TIMEOUT_MS, &mut tally).await?;
+        let most_tokens = reservation.most_tokens;
+        let decision = tally.decide(Phase::Reserved, budget_tokens, most_tokens);
+        if decision != Decision::Reread {
+            return Ok(decision);
+        }
+        let ask = Ask::Charges(reservation.program.clone());
+        self.charges(&ask, QUICK_TIMEOUT_MS, &mut tally).await?;
+        match self.group().version == version {
+            true => Ok(tally.decide(Phase::Reread, budget_tokens, most_tokens)),
+            false => Err(NoQuorum),
+        }
+    }
+
+    /// Tells what a turn used in the end. If it gets lost the reservation stays, which
+    /// charges more than was used, never less.
+    pub(crate) fn settle(self: &Rc<Self>, settlement: &Settlement) {
+        for member in &self.group().members {
+            let ask = Ask::Settle(settlement.clone());
+            drop(self.spawn_ask(member.clone(), ask, ASK_TIMEOUT_MS));
+        }
+    }
+
+    /// Keeps a finished turn. Returns once enough members have it on disk.
+    pub(crate) async fn keep_turn(
+        self: &Rc<Self>,
+        record: &TurnRecord,
+    ) -> Result<(), NoQuorum> {
+        let key = record.previous.as_deref().unwrap_or(&record.turn);
+        let mut candidates = self.in_order(key).into_iter();
+        let copies = self.group().copies();
+        let mut pending = FuturesUnordered::new();
+        let ask_next = |member: Member| {
+            let ask = Ask::KeepTurn(record.clone());
+            self.spawn_ask(member, ask, COPY_TIMEOUT_MS)
+        };
+        pending.extend(candidates.by_ref().take(copies).map(&ask_next));
+        let hedge = tokio::time::sleep(std::time::Duration::from_millis(COPY_HEDGE_MS));
+        tokio::pin!(hedge);
+        let mut is_hedged = false;
+        let mut kept = 0;
+        while kept < copies.max(1) {
+            tokio::select! {
+                answer = pending.next() => match answer {
+                    Some(Ok(Ok(Answer::Done))) => kept += 1,
+                    Some(answer) => {
+                        if let Ok(Ok(Answer::Closed(newer))) = answer {
+                            self.adopt(newer);
+                        }
+                        pending.extend(candidates.next().map(&ask_next));
+                    }
+                    None => return Err(NoQuorum),
+                },
+                () = &mut hedge, if !is_hedged => {
+                    is_hedged = true;
+                    pending.extend(candidates.by_ref().map(&ask_next));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Finds a turn and those before it.
+    pub(crate) async fn chain(
+        self: &Rc<Self>,
+        turn: &str,
+    ) -> Result<FoundChain, NoQuorum> {
+        let group = self.group();
+        let mut candidates = self.in_order(turn).into_iter();
+        let ask_next = |member: Member| {
+            let ask = Ask::Chain {
+                turn: turn.to_string(),
+            };
+            self.spawn_ask(member, ask, ASK_TIMEOUT_MS)
+        };
+        let mut pending = FuturesUnordered::new();
+        pending.extend(candidates.next().map(&ask_next));
+        let hedge = tokio::time::sleep(std::time::Duration::from_millis(COPY_HEDGE_MS));
+        tokio::pin!(hedge);
+        let mut is_hedged = false;
+        let mut without = 0;
+        let readable = group.members.len() + 1 - group.copies().min(group.members.len());
+        loop {
+            tokio::select! {
+                answer = pending.next() => match answer {
+                    Some(Ok(Ok(Answer::Chain(turns)))) if !turns.is_empty() => {
+                        return Ok(FoundChain::Turns(turns));
+                    }
+                    Some(answer) => {
+                        match answer {
+                            Ok(Ok(Answer::Chain(_))) => without += 1,
+                            Ok(Ok(Answer::Closed(newer))) => self.adopt(newer),
+                            _ => {}
+                        }
+                        if without >= readable && !group.members.is_empty() {
+                            return Ok(FoundChain::Missing);
+                        }
+                        pending.extend(candidates.by_ref().map(&ask_next));
+                    }
+                    None => return Err(NoQuorum),
+                },
+                () = &mut hedge, if !is_hedged => {
+                    is_hedged = true;
+                    pending.extend(candidates.by_ref().map(&ask_next));
+                }
+            }
+        }
+    }
+
+    /// Takes tokens of customers' rates from one member.
+    pub(crate) async fn take_quota(
+        self: &Rc<Self>,
+        member: &Member,
+        configuration_version: u64,
+        wants: Vec<QuotaWant>,
+    ) -> Option<Vec<u32>> {
+        let ask = Ask::TakeQuota {
+            configuration_version,
+            wants,
+        };
+        match self.ask(member, ask, QUICK_TIMEOUT_MS).await {
+            Ok(Answer::Quota(granted)) => Some(granted),
+            Ok(Answer::Closed(newer)) => {
+                self.adopt(newer);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// The configuration and its freshness from any member.
+    pub(crate) async fn configuration(&self, known_revision: u64) -> Vec<Freshness> {
+        let mut found = Vec::new();
+        for member in self.in_order("configuration") {
+            let ask = Ask::Configuration { known_revision };
+            if let Ok(Answer::Configuration(freshness)) =
+                self.ask(&member, ask, QUICK_TIMEOUT_MS).await
+            {
+                found.push(freshness);
+            }
+        }
+        found
+    }
+
+    /// The charges that a program needs, for a key.
+    pub(crate) fn program_key(customer: &str, program: &str) -> ProgramKey {
+        ProgramKey {
+            customer: customer.to_string(),
+            program: program.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/mod.rs
@@ -0,0 +1,193 @@
+//! An entry instance: takes callers' requests and sends each to an endpoint.
+
+mod body;
+mod call;
+mod exchange;
+pub(crate) mod listen;
+mod members;
+mod pool;
+mod quota;
+mod refusal;
+mod stream;
+mod sync;
+mod turn_cache;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+
+use hyper::StatusCode;
+
+use crate::balance::{Balancer, Pick};
+use crate::clock::now_ms;
+use crate::config::Configuration;
+use crate::directory::MetadataStore;
+use crate::edge::call::Admitted;
+use crate::edge::exchange::Outgoing;
+use crate::edge::members::Members;
+use crate::edge::pool::Pool;
+use crate::edge::refusal::Refusal;
+use crate::edge::turn_cache::TurnCache;
+use crate::freshness::Freshness;
+use crate::metrics::Metrics;
+use crate::protocol::CallProtocol;
+use crate::quota_stock::QuotaStock;
+use crate::retry::Outcome;
+use crate::settings::NodeSettings;
+
+pub use listen::run;
+
+/// Programs whose last endpoint is remembered. A program lasts a few seconds.
+const MOST_AFFINITIES: usize = 4_096;
+
+/// A configuration that was proven the newest within this part of the time in which changes
+/// must be in force may be used to tell callers that something does not exist.
+const RECENT_PART: f64 = 0.9;
+
+/// All state of an entry instance.
+pub(crate) struct Edge {
+    pub settings: NodeSettings,
+    pub protocol: Box<dyn CallProtocol>,
+    pub store: Box<dyn MetadataStore>,
+    configuration: RefCell<Rc<Configuration>>,
+    /// Store revision of the configuration. 0 before the first one.
+    configuration_revision: Cell<u64>,
+    pub freshness: RefCell<Freshness>,
+    pub balancer: RefCell<Balancer>,
+    pub pool: RefCell<Pool>,
+    pub members: Rc<Members>,
+    quota: RefCell<QuotaStock>,
+    /// Customers that no member has tokens for, until this time.
+    over_rate_until_ms: RefCell<HashMap<String, u64>>,
+    pub turns: RefCell<TurnCache>,
+    /// The endpoint that ran a program's last turn.
+    pub affinity: RefCell<HashMap<String, String>>,
+    has_endpoints: Cell<bool>,
+    is_stopping: Cell<bool>,
+    pub metrics: Metrics,
+}
+
+impl fmt::Debug for Edge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Edge")
+            .field("name", &self.settings.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Edge {
+    fn new(
+        settings: NodeSettings,
+        store: Box<dyn MetadataStore>,
+        protocol: Box<dyn CallProtocol>,
+    ) -> Edge {
+        let zone = settings.availability_zone.clone();
+        Edge {
+            settings,
+            protocol,
+            store,
+            configuration: RefCell::default(),
+            configuration_revision: Cell::new(0),
+            freshness: RefCell::default(),
+            balancer: RefCell::new(Balancer::new(&zone)),
+            pool: RefCell::default(),
+            members: Rc::new(Members::new(&zone)),
+            quota: RefCell::default(),
+            over_rate_until_ms: RefCell::default(),
+            turns: RefCell::default(),
+            affinity: RefCell::default(),
+            has_endpoints: Cell::new(false),
+            is_stopping: Cell::new(false),
+            metrics: Metrics::new(),
+        }
+    }
+
+    pub(crate) fn configuration(&self) -> Rc<Configuration> {
+        Rc::clone(&self.configuration.borrow())
+    }
+
+    /// Whether the configuration is so new that what it does not name does not exist.
+    pub(crate) fn is_configuration_recent(&self) -> bool {
+        let bound_ms = self.settings.bounds.configuration_ms as f64 * RECENT_PART;
+        let age_ms = self.freshness.borrow().age_ms(now_ms());
+        age_ms.is_some_and(|age_ms| (age_ms as f64) < bound_ms)
+    }
+
+    /// Whether callers should be sent here.
+    fn is_ready(&self) -> bool {
+        let revocation_ms = self.settings.bounds.revocation_ms;
+        !self.is_stopping.get()
+            && self.has_endpoints.get()
+            && self.configuration_revision.get() > 0
+            && self.freshness.borrow().admits(now_ms(), revocation_ms)
+    }
+
+    /// An endpoint gave no usable answer.
+    pub(crate) fn endpoint_failed(
+        &self,
+        pick: &Pick,
+        outgoing: &Outgoing,
+        outcome: Outcome,
+        reason: &str,
+    ) -> Outcome {
+        self.balancer.borrow_mut().fail(now_ms(), pick.key);
+        self.note_outcome(pick, outgoing, outcome, reason);
+        outcome
+    }
+
+    pub(crate) fn note_outcome(
+        &self,
+        pick: &Pick,
+        outgoing: &Outgoing,
+        outcome: Outcome,
+        reason: &str,
+    ) {
+        self.metrics.endpoint_failed(outcome);
+        log::info!(
+            "event=send_failed request={} endpoint={} outcome={outcome:?} reason={reason:?}",
+            outgoing.request_id,
+            pick.id,
+        );
+    }
+
+    /// An endpoint began to answer.
+    fn note_answer(&self, admitted: &Admitted, pick: &Pick, status: StatusCode) {
+        let elapsed_ms = now_ms().saturating_sub(admitted.arrived_ms);
+        let customer = admitted.outgoing.customer.as_deref().unwrap_or_default();
+        self.metrics
+            .answered(&admitted.route.name, customer, elapsed_ms);
+        if let Some(program) = &admitted.call.program {
+            let mut affinity = self.affinity.borrow_mut();
+            if affinity.len() >= MOST_AFFINITIES {
+                affinity.clear();
+            }
+            affinity.insert(program.id.clone(), pick.id.clone());
+        }
+        if !status.is_success() {
+            log::info!(
+                "event=answer request={} endpoint={} status={} elapsed_ms={elapsed_ms}",
+                admitted.call.request_id,
+                pick.id,
+                status.as_u16(),
+            );
+        }
+    }
+
+    fn note_complete(&self, admitted: &Admitted) {
+        let elapsed_ms = now_ms().saturating_sub(admitted.arrived_ms);
+        self.metrics.streamed(&admitted.route.name, elapsed_ms);
+    }
+
+    fn note_refusal(&self, request_id: &str, refusal: &Refusal, elapsed_ms: u64) {
+        self.metrics.refused(refusal.reason);
+        log::info!(
+            "event=refused request={request_id} status={} reason={} ran_no={} \
+             configuration_age_ms={:?} elapsed_ms={elapsed_ms}",
+            refusal.status.as_u16(),
+            refusal.reason,
+            refusal.is_promise(),
+            self.freshness.borrow().age_ms(now_ms()),
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/quota.rs
@@ -0,0 +1,118 @@
+//! Tokens of customers' rates, taken from the members of the group.
+
+use std::rc::Rc;
+
+use jayreel_ledger::{QuotaWant, RateLimit};
+
+use crate::clock::now_ms;
+use crate::edge::Edge;
+use crate::edge::refusal::Refusal;
+
+/// Pause between two requests for tokens in advance, in milliseconds.
+pub(crate) const REFILL_INTERVAL_MS: u64 = 150;
+
+/// Tokens are taken in advance for this time, in milliseconds: until the next refill has
+/// come, and a little less than tokens live.
+const AHEAD_MS: u64 = 250;
+
+/// After all members had no token, a customer is refused for this time without asking, in
+/// milliseconds: about the time in which a small customer earns one.
+const OVER_RATE_PAUSE_MS: u64 = 40;
+
+/// Shortest Retry-After for a customer over its rate, in milliseconds.
+const LEAST_RETRY_MS: u64 = 200;
+
+/// Longest Retry-After for a customer over its rate, in milliseconds.
+const MOST_RETRY_MS: u64 = 1_000;
+
+/// Retry-After while no member answers, in milliseconds.
+const NO_MEMBER_RETRY_MS: u64 = 300;
+
+impl Edge {
+    /// Takes the token of one request.
+    pub(crate) async fn take_quota(
+        self: &Rc<Self>,
+        customer: &str,
+        limit: RateLimit,
+        version: u64,
+    ) -> Result<(), Refusal> {
+        if limit.rate_per_s <= 0.0 || self.quota.borrow_mut().take(now_ms(), customer) {
+            return Ok(());
+        }
+        let until_ms = self.over_rate_until_ms.borrow().get(customer).copied();
+        if until_ms.is_some_and(|until_ms| now_ms() < until_ms) {
+            return Err(over_rate(limit));
+        }
+        self.take_from_members(customer, limit, version).await
+    }
+
+    async fn take_from_members(
+        self: &Rc<Self>,
+        customer: &str,
+        limit: RateLimit,
+        version: u64,
+    ) -> Result<(), Refusal> {
+        let mut has_answer = false;
+        for member in self.members.in_order(customer) {
+            let asked_ms = now_ms();
+            let want = QuotaWant {
+                customer: customer.to_string(),
+                requests: 2,
+                limit,
+            };
+            let granted = self.members.take_quota(&member, version, vec![want]).await;
+            let count = granted.and_then(|granted| granted.first().copied());
+            has_answer |= count.is_some();
+            if let Some(count) = count.filter(|count| *count > 0) {
+                self.quota.borrow_mut().add(asked_ms, customer, count - 1);
+                return Ok(());
+            }
+        }
+        match has_answer {
+            true => {
+                let until_ms = now_ms() + OVER_RATE_PAUSE_MS;
+                let mut paused = self.over_rate_until_ms.borrow_mut();
+                paused.insert(customer.to_string(), until_ms);
+                Err(over_rate(limit))
+            }
+            false => Err(Refusal::not_now("quota_unreachable", NO_MEMBER_RETRY_MS)),
+        }
+    }
+
+    /// Takes tokens in advance for customers that send steadily.
+    pub(crate) async fn refill_quota(self: &Rc<Self>) {
+        let configuration = self.configuration();
+        let wanted = self.quota.borrow_mut().wanted(now_ms(), AHEAD_MS);
+        let mut wants: Vec<QuotaWant> = wanted
+            .into_iter()
+            .filter_map(|(customer, requests)| {
+                let limit = configuration.customers.get(&customer)?.limit;
+                Some(QuotaWant {
+                    customer,
+                    requests,
+                    limit,
+                })
+            })
+            .collect();
+        for member in self.members.in_order("") {
+            wants.retain(|want| want.requests > 0 && want.limit.rate_per_s > 0.0);
+            if wants.is_empty() {
+                return;
+            }
+            let asked_ms = now_ms();
+            let asked = wants.clone();
+            let version = configuration.version;
+            let granted = self.members.take_quota(&member, version, asked).await;
+            for (want, count) in wants.iter_mut().zip(granted.unwrap_or_default()) {
+                self.quota.borrow_mut().add(asked_ms, &want.customer, count);
+                want.requests = want.requests.saturating_sub(count);
+            }
+        }
+    }
+}
+
+/// A customer may come back when its rate has earned a few tokens.
+fn over_rate(limit: RateLimit) -> Refusal {
+    let retry_ms = (4_000.0 / limit.rate_per_s.max(0.1)) as u64;
+    Refusal::over_rate(retry_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS))
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,153 @@
+//! Counters and histograms, in the Prometheus text format.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::retry::Outcome;
+
+/// Upper bounds of latencies, in seconds: from an idle plain service to the longest timeout.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.25, 0.5, 1.0, 2.0, 3.0, 6.0,
+];
+
+/// Metrics of one process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    first_byte_s: HistogramVec,
+    complete_s: HistogramVec,
+    refusals: IntCounterVec,
+    failures: IntCounterVec,
+    broken: IntGauge,
+    open_connections: Rc<Cell<usize>>,
+    open_calls: Rc<Cell<usize>>,
+}
+
+/// Counts something as open until it is dropped.
+pub(crate) struct Open(Rc<Cell<usize>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+fn open(count: &Rc<Cell<usize>>) -> Open {
+    count.set(count.get() + 1);
+    Open(Rc::clone(count))
+}
+
+fn histogram(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+    HistogramVec::new(options, labels).expect("the names of metrics are valid")
+}
+
+fn counter(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels)
+        .expect("the names of metrics are valid")
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let first_byte_s = histogram(
+            "jayreel_first_byte_seconds",
+            "Time from the arrival of a request to the head of its answer",
+            &["route", "customer"],
+        );
+        let complete_s = histogram(
+            "jayreel_stream_seconds",
+            "Time from the arrival of a streamed request to its end",
+            &["route"],
+        );
+        let refusals = counter(
+            "jayreel_refusals_total",
+            "Requests answered by the instance itself, by reason",
+            &["reason"],
+        );
+        let failures = counter(
+            "jayreel_endpoint_failures_total",
+            "Sends without a usable answer, by what became of them",
+            &["outcome"],
+        );
+        let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
+            .expect("the names of metrics are valid");
+        let registry = Registry::new();
+        let collectors: [Box<dyn prometheus::core::Collector>; 5] = [
+            Box::new(first_byte_s.clone()),
+            Box::new(complete_s.clone()),
+            Box::new(refusals.clone()),
+            Box::new(failures.clone()),
+            Box::new(broken.clone()),
+        ];
+        for collector in collectors {
+            registry
+                .register(collector)
+                .expect("each metric is registered once");
+        }
+        Metrics {
+            registry,
+            first_byte_s,
+            complete_s,
+            refusals,
+            failures,
+            broken,
+            open_connections: Rc::default(),
+            open_calls: Rc::default(),
+        }
+    }
+
+    pub(crate) fn answered(&self, route: &str, customer: &str, elapsed_ms: u64) {
+        let histogram = self.first_byte_s.with_label_values(&[route, customer]);
+        histogram.observe(elapsed_ms as f64 / 1_000.0);
+    }
+
+    pub(crate) fn streamed(&self, route: &str, elapsed_ms: u64) {
+        let histogram = self.complete_s.with_label_values(&[route]);
+        histogram.observe(elapsed_ms as f64 / 1_000.0);
+    }
+
+    pub(crate) fn refused(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub(crate) fn endpoint_failed(&self, outcome: Outcome) {
+        let outcome = format!("{outcome:?}").to_lowercase();
+        self.failures.with_label_values(&[outcome.as_str()]).inc();
+    }
+
+    pub(crate) fn broken_off(&self) {
+        self.broken.inc();
+    }
+
+    pub(crate) fn open_connection(&self) -> Open {
+        open(&self.open_connections)
+    }
+
+    pub(crate) fn open_call(&self) -> Open {
+        open(&self.open_calls)
+    }
+
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
+    pub(crate) fn open_calls(&self) -> usize {
+        self.open_calls.get()
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(error) => {
+                log::warn!("event=metrics_unreadable reason={error:?}");
+                String::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/storage/care.rs
@@ -0,0 +1,363 @@
+//! What an instance with a disk does by itself: reads the configuration, registers, founds
+//! or joins the group, copies what it lacks, hands over what it holds when it is to go.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jayreel_ledger::{Answer, Ask, Group, Member};
+
+use crate::clock::now_ms;
+use crate::directory::{MetadataError, RetirementState};
+use crate::membership::{GROUP_RECORD, MEMBER_RECORDS, Proposal, Watcher};
+use crate::storage::node::Event;
+use crate::storage::serve::Storage;
+
+/// Pause between two reads of the configuration, in milliseconds: limits of customers count
+/// within the time in which changes must be in force.
+const CONFIGURATION_INTERVAL_MS: u64 = 1_000;
+
+/// Pause after a failed call of the store, in milliseconds.
+const FAILED_CALL_PAUSE_MS: u64 = 200;
+
+/// Pause between two looks at the group, in milliseconds.
+const GROUP_INTERVAL_MS: u64 = 500;
+
+/// Instances that start together register within this time, in milliseconds; then the group
+/// is founded.
+const FOUNDING_DELAY_MS: u64 = 1_800;
+
+/// Time for the answer of another instance, in milliseconds.
+const ASK_TIMEOUT_MS: u64 = 400;
+
+/// Time for copying one part, in milliseconds.
+const PART_TIMEOUT_MS: u64 = 2_000;
+
+/// Pause between two rounds of copying, in milliseconds.
+const COPY_INTERVAL_MS: u64 = 100;
+
+/// Pause between two rounds of forgetting old facts, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 5_000;
+
+async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Starts all loops.
+pub(crate) fn start(storage: &Rc<Storage>) {
+    tokio::task::spawn_local(read_configuration(Rc::clone(storage)));
+    tokio::task::spawn_local(copy_missing(Rc::clone(storage)));
+    tokio::task::spawn_local(tend_group(Rc::clone(storage)));
+    let ticking = Rc::clone(storage);
+    tokio::task::spawn_local(async move {
+        loop {
+            pause(EXPIRY_INTERVAL_MS).await;
+            ticking.apply(Event::Tick);
+        }
+    });
+}
+
+async fn read_configuration(storage: Rc<Storage>) {
+    loop {
+        let read_began_ms = now_ms();
+        let known = storage.node.borrow().configuration_revision();
+        match storage.store.configuration(known).await {
+            Ok(read) => {
+                let content = read.content.map(|(content, configuration)| {
+                    let customers = configuration.customers.iter();
+                    let limits =
+                        customers.map(|(name, customer)| (name.clone(), customer.limit));
+                    (content, configuration.version, limits.collect())
+                });
+                storage.apply(Event::Configured {
+                    read_began_ms,
+                    revision: read.revision,
+                    content,
+                });
+                pause(CONFIGURATION_INTERVAL_MS).await;
+            }
+            Err(error) => {
+                log::debug!("event=configuration_unread reason={error:?}");
+                pause(FAILED_CALL_PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+/// Copies the facts of other members while this one lacks some.
+async fn copy_missing(storage: Rc<Storage>) {
+    loop {
+        let sources = storage.node.borrow().copy_sources();
+        for source in sources {
+            copy_from(&storage, &source).await;
+        }
+        pause(COPY_INTERVAL_MS).await;
+    }
+}
+
+async fn copy_from(storage: &Storage, source: &Member) {
+    let link = storage.link(source);
+    let group = storage.node.borrow().group().clone();
+    let version = group.version;
+    let adopted = link.ask(version, Ask::Adopt(group), ASK_TIMEOUT_MS).await;
+    if adopted.is_err() {
+        return;
+    }
+    let mut cursor = Some(0);
+    while let Some(next) = cursor {
+        let ask = Ask::CopyPart { cursor: next };
+        let answer = link.ask(version, ask, PART_TIMEOUT_MS).await;
+        let Ok(Answer::Part {
+            facts,
+            next,
+            is_complete: true,
+        }) = answer
+        else {
+            return;
+        };
+        if storage.node.borrow().group().version != version {
+            return;
+        }
+        storage.apply(Event::Copied {
+            source: source.name.clone(),
+            facts,
+            is_last: next.is_none(),
+        });
+        cursor = next;
+    }
+    log::info!("event=copied source={}", source.name);
+}
+
+async fn tend_group(storage: Rc<Storage>) {
+    register(&storage).await;
+    pause(FOUNDING_DELAY_MS).await;
+    let watcher = RefCell::new(Watcher::default());
+    let mut retired = None;
+    loop {
+        if let Err(error) = look_after(&storage, &watcher, &mut retired).await {
+            log::debug!("event=group_untended reason={error:?}");
+        }
+        pause(GROUP_INTERVAL_MS).await;
+    }
+}
+
+async fn register(storage: &Storage) {
+    let me = storage.me();
+    let name = format!("{MEMBER_RECORDS}{}", me.name);
+    loop {
+        let content = encode(&me);
+        match storage
+            .store
+            .write_own_record(name.clone(), content, None)
+            .await
+        {
+            Ok(()) => return,
+            Err(error) => {
+                log::info!("event=registration_failed reason={error:?}");
+                pause(FAILED_CALL_PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Bytes {
+    match postcard::to_stdvec(value) {
+        Ok(content) => Bytes::from(content),
+        Err(error) => {
+            log::error!("event=record_unwritable reason={error:?}");
+            Bytes::new()
+        }
+    }
+}
+
+async fn look_after(
+    storage: &Rc<Storage>,
+    watcher: &RefCell<Watcher>,
+    retired: &mut Option<RetirementState>,
+) -> Result<(), MetadataError> {
+    let records = storage.store.own_records(GROUP_RECORD, true).await?;
+    let record = records
+        .into_iter()
+        .find(|record| record.name == GROUP_RECORD);
+    let Some(record) = record else {
+        return found(storage).await;
+    };
+    let group = decode::<Group>(&record.content)?;
+    storage.apply(Event::GroupLearned(group.clone()));
+    let retiring = storage.store.retirements().await?;
+    let retiring: Vec<String> = retiring.into_iter().map(|one| one.instance).collect();
+    let me = storage.me();
+    let is_spare = !group.contains(&me.name);
+    let is_retiring = retiring.contains(&me.name);
+    if !is_spare && !is_retiring {
+        return Ok(());
+    }
+    let voting = ask_status(storage, &group, watcher).await;
+    let proposal = watcher
+        .borrow_mut()
+        .propose(now_ms(), &group, &me, &retiring, voting);
+    match proposal {
+        Some(proposal) => propose(storage, &group, record.revision, proposal).await?,
+        None if is_retiring => retire(storage, &group, voting, retired).await?,
+        None => {}
+    }
+    Ok(())
+}
+
+fn decode<T: serde::de::DeserializeOwned>(content: &[u8]) -> Result<T, MetadataError> {
+    postcard::from_bytes(content)
+        .map_err(|error| MetadataError::Unreadable(format!("{error:?}")))
+}
+
+/// Founds the group of the instances that have registered.
+async fn found(storage: &Storage) -> Result<(), MetadataError> {
+    let records = storage.store.own_records(MEMBER_RECORDS, false).await?;
+    let candidates: Vec<Member> = records
+        .iter()
+        .map(|record| decode(&record.content))
+        .collect::<Result<_, _>>()?;
+    let group = Group::first(&candidates, storage.settings.tolerated_losses);
+    let written = write_group(storage, &group, 0).await;
+    match written {
+        Ok(()) => {
+            log::info!("event=group_founded members={}", group.members.len());
+            storage.apply(Event::GroupLearned(group));
+            Ok(())
+        }
+        Err(MetadataError::Conflict) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+async fn write_group(
+    storage: &Storage,
+    group: &Group,
+    expected_revision: u64,
+) -> Result<(), MetadataError> {
+    let name = GROUP_RECORD.to_string();
+    let content = encode(group);
+    let store = &storage.store;
+    store
+        .write_own_record(name, content, Some(expected_revision))
+        .await
+}
+
+/// Asks all members for their state. Returns how many vote in this version.
+async fn ask_status(
+    storage: &Storage,
+    group: &Group,
+    watcher: &RefCell<Watcher>,
+) -> usize {
+    let me = &storage.settings.name;
+    let others = group.members.iter().filter(|member| member.name != *me);
+    let answers = futures::future::join_all(others.map(|member| async move {
+        let link = storage.link(member);
+        let answer = link.ask(group.version, Ask::Status, ASK_TIMEOUT_MS).await;
+        (member.name.clone(), answer)
+    }))
+    .await;
+    let mut voting = usize::from(storage.node.borrow().is_voting());
+    for (name, answer) in answers {
+        watcher.borrow_mut().note(now_ms(), &name, answer.is_ok());
+        if let Ok(Answer::Status {
+            is_voting: true, ..
+        }) = answer
+        {
+            voting += 1;
+        }
+    }
+    voting
+}
+
+async fn propose(
+    storage: &Storage,
+    group: &Group,
+    revision: u64,
+    proposal: Proposal,
+) -> Result<(), MetadataError> {
+    let me = storage.me();
+    let next = match &proposal {
+        Proposal::Join { leaving } => group.replace(leaving.as_deref(), Some(me)),
+        Proposal::Leave => group.replace(Some(&me.name), None),
+    };
+    log::info!(
+        "event=group_proposed version={} change={proposal:?}",
+        next.version
+    );
+    match write_group(storage, &next, revision).await {
+        Ok(()) => {}
+        Err(MetadataError::Conflict) => return Ok(()),
+        Err(error) => return Err(error),
+    }
+    storage.apply(Event::GroupLearned(next.clone()));
+    let told = next.members.iter().chain(&next.previous);
+    let me = &storage.settings.name;
+    futures::future::join_all(told.filter(|member| member.name != *me).map(|member| {
+        let (link, next) = (storage.link(member), next.clone());
+        async move {
+            link.ask(next.version, Ask::Adopt(next), ASK_TIMEOUT_MS)
+                .await
+        }
+    }))
+    .await;
+    Ok(())
+}
+
+/// Goes on with a retirement: reports it, and reports its end once the group holds all.
+async fn retire(
+    storage: &Rc<Storage>,
+    group: &Group,
+    voting: usize,
+    retired: &mut Option<RetirementState>,
+) -> Result<(), MetadataError> {
+    let name = storage.settings.name.clone();
+    let store = &storage.store;
+    if retired.is_none() {
+        store
+            .report_retirement(name.clone(), RetirementState::InProgress)
+            .await?;
+        *retired = Some(RetirementState::InProgress);
+    }
+    let is_done = *retired == Some(RetirementState::Completed);
+    if group.contains(&name) || is_done || voting < group.members.len() {
+        return Ok(());
+    }
+    if !hand_over(storage, group).await {
+        return Ok(());
+    }
+    store
+        .report_retirement(name, RetirementState::Completed)
+        .await?;
+    *retired = Some(RetirementState::Completed);
+    log::info!("event=retired group_version={}", group.version);
+    Ok(())
+}
+
+/// Sends all facts to the members, if the group became smaller: some had a copy only here.
+/// A member that joined in the place of this one has copied them already.
+async fn hand_over(storage: &Storage, group: &Group) -> bool {
+    if group.members.len() >= group.previous.len() {
+        return true;
+    }
+    let mut cursor = Some(0);
+    while let Some(next) = cursor {
+        let (facts, following) = storage.node.borrow().part(next);
+        let sends = group.members.iter().map(|member| {
+            let (link, facts) = (storage.link(member), facts.clone());
+            async move {
+                let ask = Ask::KeepFacts(facts);
+                link.ask(group.version, ask, PART_TIMEOUT_MS).await
+            }
+        });
+        let answers = futures::future::join_all(sends).await;
+        if !answers
+            .iter()
+            .all(|answer| matches!(answer, Ok(Answer::Done)))
+        {
+            return false;
+        }
+        cursor = following;
+    }
+    true
+}
--- /dev/null
+++ b/crates/gateway/src/storage/mod.rs
@@ -0,0 +1,11 @@
+//! An instance with a disk: keeps charges and turns, and hands out its part of customers'
+//! rates.
+
+mod care;
+mod disk;
+mod node;
+mod serve;
+
+pub use disk::{Disk, DiskError};
+pub use node::{ConnectionKey, Effect, Event, Node};
+pub use serve::run;
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,28 @@
+//! What the instances with disks keep: charges against the budgets of programs and the
+//! finished turns of conversations.
+//!
+//! Everything kept is a [`Fact`]. Facts are never changed, and merging them gives the same
+//! [`Book`] in any order and with any repetition, so copies need no agreement: a fact is
+//! safe once a quorum of the [`Group`] has it on disk, and a reader that asks a quorum sees
+//! it. What must be agreed, the membership of the group, is one record in the platform's
+//! store.
+//!
+//! The crate does no I/O and reads no clock.
+
+mod admission;
+mod book;
+mod fact;
+mod group;
+mod log;
+mod message;
+mod rate;
+
+pub use admission::{Decision, Phase, Tally};
+pub use book::{Book, Chain};
+pub use fact::{
+    ChargeView, Fact, ProgramKey, Reservation, Settlement, TurnRecord, turn_digest,
+};
+pub use group::{CatchUp, Group, Member};
+pub use log::{decode_frames, encode_frame};
+pub use message::{Answer, Ask, Freshness, QuotaWant, Reply, Request};
+pub use rate::{RateLimit, RateShare};
--- /dev/null
+++ b/crates/ledger/src/message.rs
@@ -0,0 +1,127 @@
+//! What instances ask those with disks.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fact::{ChargeView, Fact, ProgramKey, Reservation, Settlement, TurnRecord};
+use crate::group::Group;
+use crate::rate::RateLimit;
+
+/// A numbered question on a connection.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Request {
+    /// Unique on its connection. The reply repeats it.
+    pub id: u64,
+    /// Version of the group that the sender counts quorums in. 0 if it knows none.
+    pub group_version: u64,
+    /// The question.
+    pub ask: Ask,
+}
+
+/// The reply to one question.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Reply {
+    /// Number of the question.
+    pub id: u64,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// Tokens of a customer's rate that an instance wants.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct QuotaWant {
+    /// Name of the customer.
+    pub customer: String,
+    /// Requests that it wants to admit.
+    pub requests: u32,
+    /// The customer's limit as the sender knows it.
+    pub limit: RateLimit,
+}
+
+/// A question.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Ask {
+    /// The newest group that the sender knows. Versions before it are closed from now on.
+    Adopt(Group),
+    /// Write a reservation; answered with the program's charges once it is on disk.
+    Reserve(Reservation),
+    /// The charges of a program.
+    Charges(ProgramKey),
+    /// Write the use of a turn.
+    Settle(Settlement),
+    /// Write a finished turn; answered once it is on disk.
+    KeepTurn(TurnRecord),
+    /// Write facts from another instance's book; answered once they are on disk.
+    KeepFacts(Vec<Fact>),
+    /// A turn and the turns before it.
+    Chain {
+        /// Request identifier of the newest turn.
+        turn: String,
+    },
+    /// Tokens of customers' rates.
+    TakeQuota {
+        /// Version of the configuration that the limits come from.
+        configuration_version: u64,
+        /// One entry for each customer.
+        wants: Vec<QuotaWant>,
+    },
+    /// A part of all facts, see [`crate::Book::part`].
+    CopyPart {
+        /// 0 for the first part.
+        cursor: u64,
+    },
+    /// Whether the instance is there and votes.
+    Status,
+    /// The configuration, if it is newer than a revision, and how fresh it is.
+    Configuration {
+        /// Revision that the sender holds. 0 for none.
+        known_revision: u64,
+    },
+}
+
+/// How recently an instance has proof that its configuration was the newest.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Freshness {
+    /// Revision of the configuration.
+    pub revision: u64,
+    /// Age of the proof when the answer was sent, in milliseconds.
+    pub age_ms: u64,
+    /// The configuration as the store holds it, if the asker does not have it.
+    pub content: Option<bytes::Bytes>,
+}
+
+/// An answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Answer {
+    /// Done, and on disk where the question asks for that.
+    Done,
+    /// The charges of a program.
+    Charges(Vec<ChargeView>),
+    /// Newest turn first; empty if the instance does not hold the turn.
+    Chain(Vec<TurnRecord>),
+    /// Requests granted, in the order of the wants.
+    Quota(Vec<u32>),
+    /// A part of all facts.
+    Part {
+        /// The facts.
+        facts: Vec<Fact>,
+        /// Cursor of the next part.
+        next: Option<u64>,
+        /// Whether the instance held all facts of its group.
+        is_complete: bool,
+    },
+    /// State of the instance.
+    Status {
+        /// Whether it votes.
+        is_voting: bool,
+        /// Newest version of the group that it knows.
+        group_version: u64,
+    },
+    /// The configuration and its age.
+    Configuration(Freshness),
+    /// The sender's version is closed. This is the newest group.
+    Closed(Group),
+    /// The instance does not vote (yet): its disk is new, or it is no member.
+    NotVoting,
+    /// The instance cannot answer now.
+    Unavailable,
+}
--- /dev/null
+++ b/crates/ledger/src/rate.rs
@@ -0,0 +1,80 @@
+//! The part of a customer's rate that one member of the group hands out.
+//!
+//! Each member owns an equal part of each customer's rate and burst and answers for it
+//! alone, so the sum over the group never exceeds the limit, whoever is reachable. Instances
+//! take tokens where they need them. A member that starts begins with an empty bucket: what
+//! it handed out before is unknown.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+/// A customer's limit over all instances. A rate of 0 means no limit.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RateLimit {
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Requests that may come at once beyond the rate.
+    pub burst: f64,
+}
+
+/// Smallest capacity of a bucket, in requests: without one whole token none is ever given.
+const LEAST_CAPACITY: f64 = 1.0;
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    updated_ms: u64,
+}
+
+/// The buckets of one member.
+#[derive(Debug, Default)]
+pub struct RateShare {
+    buckets: HashMap<String, Bucket>,
+    limits: HashMap<String, RateLimit>,
+    configuration_version: u64,
+}
+
+impl RateShare {
+    /// Learns a limit, from which on tokens accrue. Limits of older configurations than the
+    /// newest seen are ignored.
+    pub fn learn(&mut self, now_ms: u64, version: u64, customer: &str, limit: RateLimit) {
+        if version < self.configuration_version {
+            return;
+        }
+        self.configuration_version = version;
+        self.limits.insert(customer.to_string(), limit);
+        self.bucket(now_ms, customer);
+    }
+
+    fn bucket(&mut self, now_ms: u64, customer: &str) -> &mut Bucket {
+        self.buckets.entry(customer.to_string()).or_insert(Bucket {
+            tokens: 0.0,
+            updated_ms: now_ms,
+        })
+    }
+
+    /// Takes up to `requests` whole tokens of a customer. `parts` is the number of members
+    /// that share the limit.
+    pub fn take(
+        &mut self,
+        now_ms: u64,
+        customer: &str,
+        requests: u32,
+        parts: usize,
+    ) -> u32 {
+        let Some(limit) = self.limits.get(customer).copied() else {
+            return 0;
+        };
+        let parts = parts.max(1) as f64;
+        let rate_per_ms = limit.rate_per_s / 1_000.0 / parts;
+        let capacity = (limit.burst / parts).max(LEAST_CAPACITY);
+        let bucket = self.bucket(now_ms, customer);
+        let elapsed_ms = now_ms.saturating_sub(bucket.updated_ms) as f64;
+        bucket.tokens = (bucket.tokens + elapsed_ms * rate_per_ms).min(capacity);
+        bucket.updated_ms = now_ms;
+        let granted = bucket.tokens.floor().min(f64::from(requests));
+        bucket.tokens -= granted;
+        granted as u32
+    }
+}
