--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -11,6 +12,7 @@
     Reservation, Settlement, Tally, TurnRecord, turn_digest,
 };
 
+use crate::clock::now_ms;
 use crate::link::{Link, LinkError};
 
 /// Time for an answer, in milliseconds: a sync of a disk that is busy, and the way there.
@@ -26,6 +28,10 @@
 /// A finished turn that has not enough copies after this time is given up, in milliseconds.
 const COPY_TIMEOUT_MS: u64 = 1_200;
 
+/// Pause before a finished turn is offered again to members that did not take it, in
+/// milliseconds.
+const COPY_RETRY_MS: u64 = 50;
+
 /// The group did not answer in a way that decides.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct NoQuorum;
@@ -214,11 +220,26 @@
         }
     }
 
-    /// Keeps a finished turn. Returns once enough members have it on disk.
+    /// Keeps a finished turn. Returns once enough members have it on disk. Repeating it
+    /// does no harm, so it is tried again while the group changes or members are away.
     pub(crate) async fn keep_turn(
         self: &Rc<Self>,
         record: &TurnRecord,
     ) -> Result<(), NoQuorum> {
+        let until_ms = now_ms() + COPY_TIMEOUT_MS;
+        loop {
+            let version = self.group().version;
+            let kept = self.keep_once(record).await;
+            if kept.is_ok() || now_ms() >= until_ms {
+                return kept;
+            }
+            if self.group().version == version {
+                tokio::time::sleep(Duration::from_millis(COPY_RETRY_MS)).await;
+            }
+        }
+    }
+
+    async fn keep_once(self: &Rc<Self>, record: &TurnRecord) -> Result<(), NoQuorum> {
         let key = record.previous.as_deref().unwrap_or(&record.turn);
         let mut candidates = self.in_order(key).into_iter();
         let copies = self.group().copies();
@@ -228,7 +249,7 @@
             self.spawn_ask(member, ask, COPY_TIMEOUT_MS)
         };
         pending.extend(candidates.by_ref().take(copies).map(&ask_next));
-        let hedge = tokio::time::sleep(std::time::Duration::from_millis(COPY_HEDGE_MS));
+        let hedge = tokio::time::sleep(Duration::from_millis(COPY_HEDGE_MS));
         tokio::pin!(hedge);
         let mut is_hedged = false;
         let mut kept = 0;
@@ -268,7 +289,7 @@
         };
         let mut pending = FuturesUnordered::new();
         pending.extend(candidates.next().map(&ask_next));
-        let hedge = tokio::time::sleep(std::time::Duration::from_millis(COPY_HEDGE_MS));
+        let hedge = tokio::time::sleep(Duration::from_millis(COPY_HEDGE_MS));
         tokio::pin!(hedge);
         let mut is_hedged = false;
         let mut without = 0;
