ledger: a member whose disk was lost copies from the present members too

Ruled out: unsynced replies, torn logs, copies counted twice. Also: a reply whose facts are on disk already no longer waits for the next append.

--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -11,7 +11,7 @@
 use crate::clock::now_ms;
 use crate::directory::{MetadataError, RetirementState};
 use crate::membership::{GROUP_RECORD, MEMBER_RECORDS, Proposal, Watcher};
-use crate::storage::node::Event;
+use crate::storage::node::{ConfigurationFacts, Event};
 use crate::storage::serve::Storage;
 
 /// Pause between two reads of the configuration, in milliseconds: limits of customers count
--- a/crates/gateway/src/storage/mod.rs
+++ b/crates/gateway/src/storage/mod.rs
@@ -7,5 +7,5 @@
 mod serve;
 
 pub use disk::{Disk, DiskError};
-pub use node::{ConnectionKey, Effect, Event, Node};
+pub use node::{ConfigurationFacts, ConnectionKey, Effect, Event, Node};
 pub use serve::run;
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -19,6 +19,17 @@
 /// Size of a part of a copy of all facts, in bytes.
 const PART_BYTES: usize = 512 << 10;
 
+/// What an instance with a disk uses of a configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigurationFacts {
+    /// The configuration as the store holds it.
+    pub stored: Bytes,
+    /// Version that the operator gave it.
+    pub version: u64,
+    /// Limits by customer.
+    pub limits: Vec<(String, RateLimit)>,
+}
+
 /// What happens to the instance.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -51,8 +62,8 @@
         read_began_ms: u64,
         /// Its store revision.
         revision: u64,
-        /// Set if it is new: as stored, its version and the limits of customers.
-        content: Option<(Bytes, u64, Vec<(String, RateLimit)>)>,
+        /// Set if it is new.
+        content: Option<ConfigurationFacts>,
     },
     /// Time has passed.
     Tick,
@@ -102,6 +113,8 @@
     /// Store revision of `configuration`. 0 without one.
     configuration_revision: u64,
     appended: u64,
+    /// Number of the last append that is on disk. At most `appended`.
+    synced: u64,
     /// Replies that wait until an append is on disk, in the order of the appends.
     unsynced: VecDeque<(u64, ConnectionKey, Reply)>,
 }
@@ -124,6 +137,7 @@
             configuration: Bytes::new(),
             configuration_revision: 0,
             appended: 0,
+            synced: 0,
             unsynced: VecDeque::new(),
         }
     }
@@ -361,6 +375,7 @@
             effects.extend(self.append(facts));
         }
         self.unsynced.push_back((self.appended, to, reply));
+        effects.extend(self.release(self.synced));
         effects
     }
 
@@ -380,6 +395,7 @@
     }
 
     fn release(&mut self, through: u64) -> Vec<Effect> {
+        self.synced = self.synced.max(through);
         let mut effects = Vec::new();
         while self
             .unsynced
@@ -467,7 +483,7 @@
         now_ms: u64,
         read_began_ms: u64,
         revision: u64,
-        content: Option<(Bytes, u64, Vec<(String, RateLimit)>)>,
+        content: Option<ConfigurationFacts>,
     ) {
         match content {
             Some((content, version, limits))
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -103,32 +103,55 @@
 
 /// The progress of a member that does not hold all facts yet: its disk is new.
 ///
-/// It copies the facts of a quorum of those that held them. Its own copies of earlier facts
-/// are lost, but each of those facts has a copy at one member of any such quorum.
+/// It copies the facts of a quorum of the other members, since it may have voted in this
+/// version before its disk was lost. If it was no member of the version before, it also
+/// copies those of a quorum of that one. Each earlier fact has a copy in any such quorum.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CatchUp {
     sources: Vec<Member>,
-    needed: usize,
+    requirements: Vec<Requirement>,
     copied: BTreeSet<String>,
 }
 
+/// So many of these instances must be copied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Requirement {
+    names: BTreeSet<String>,
+    needed: usize,
+}
+
+impl Requirement {
+    fn of(members: &[Member], name: &str) -> Requirement {
+        let others = members.iter().filter(|member| member.name != name);
+        let names: BTreeSet<String> = others.map(|member| member.name.clone()).collect();
+        let needed = quorum(members.len()).min(names.len());
+        Requirement { names, needed }
+    }
+}
+
 impl CatchUp {
-    /// Plans the copies for the instance `name`. None are needed if it founds the group.
+    /// Plans the copies for the instance `name`.
     pub fn plan(group: &Group, name: &str) -> CatchUp {
         let was_member = group.previous.iter().any(|member| member.name == name);
-        let holders = match group.previous.is_empty() || was_member {
-            true => &group.members,
-            false => &group.previous,
-        };
-        let sources = holders.iter().filter(|member| member.name != name);
+        let mut requirements = vec![Requirement::of(&group.members, name)];
+        if !was_member {
+            requirements.push(Requirement::of(&group.previous, name));
+        }
+        let mut sources: Vec<Member> = Vec::new();
+        for member in group.members.iter().chain(&group.previous) {
+            let is_known = sources.iter().any(|source| source.name == member.name);
+            if member.name != name && !is_known {
+                sources.push(member.clone());
+            }
+        }
         CatchUp {
-            sources: sources.cloned().collect(),
-            needed: quorum(holders.len()),
+            sources,
+            requirements,
             copied: BTreeSet::new(),
         }
     }
 
-    /// Members to copy from that have not been copied yet.
+    /// Instances to copy from that have not been copied yet.
     pub fn missing(&self) -> Vec<Member> {
         let sources = self.sources.iter();
         sources
@@ -137,13 +160,17 @@
             .collect()
     }
 
-    /// All facts of a member that itself held everything are copied.
+    /// All facts of an instance that itself held everything are copied.
     pub fn record(&mut self, source: &str) {
         self.copied.insert(source.to_string());
     }
 
     /// Whether the instance may vote.
     pub fn is_complete(&self) -> bool {
-        self.copied.len() >= self.needed.min(self.sources.len())
+        let mut requirements = self.requirements.iter();
+        requirements.all(|requirement| {
+            let copied = requirement.names.intersection(&self.copied);
+            copied.count() >= requirement.needed
+        })
     }
 }
