--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -64,11 +64,15 @@
         let known = storage.node.borrow().configuration_revision();
         match storage.store.configuration(known).await {
             Ok(read) => {
-                let content = read.content.map(|(content, configuration)| {
+                let content = read.content.map(|(stored, configuration)| {
                     let customers = configuration.customers.iter();
                     let limits =
                         customers.map(|(name, customer)| (name.clone(), customer.limit));
-                    (content, configuration.version, limits.collect())
+                    ConfigurationFacts {
+                        stored,
+                        version: configuration.version,
+                        limits: limits.collect(),
+                    }
                 });
                 storage.apply(Event::Configured {
                     read_began_ms,
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -486,13 +486,11 @@
         content: Option<ConfigurationFacts>,
     ) {
         match content {
-            Some((content, version, limits))
-                if revision > self.configuration_revision =>
-            {
+            Some(facts) if revision > self.configuration_revision => {
                 self.configuration_revision = revision;
-                self.configuration = content;
-                for (customer, limit) in limits {
-                    self.rates.learn(now_ms, version, &customer, limit);
+                self.configuration = facts.stored;
+                for (customer, limit) in facts.limits {
+                    self.rates.learn(now_ms, facts.version, &customer, limit);
                 }
             }
             _ => {}
