--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -124,6 +124,7 @@
     let limit_ms = call.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     let service = choose_service(&route);
     check_endpoints(edge, &service)?;
+    check_group(edge, &route, &call, customer.is_some())?;
     let body = read_body(&configuration, body, limit_ms).await?;
     if let Some((name, customer)) = &customer {
         edge.take_quota(name, customer.limit, configuration.version)
@@ -193,7 +194,9 @@
     let is_fresh = edge.freshness.borrow().admits(arrived_ms, revocation_ms);
     let key = call.key.as_deref();
     match key.and_then(|key| configuration.customer_of(key)) {
-        _ if !is_fresh => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
+        _ if !is_fresh => {
+            Err(Refusal::not_now("configuration_old", STALE_RETRY_MS).moving_on())
+        }
         Some((name, customer)) => Ok(Some((name.to_string(), customer))),
         None if edge.is_configuration_recent() => {
             Err(Refusal::denied(StatusCode::UNAUTHORIZED, "unknown_key"))
@@ -225,6 +228,32 @@
     }
 }
 
+/// Refuses at once what needs the group while it is not in contact.
+fn check_group(
+    edge: &Edge,
+    route: &Route,
+    call: &CallHead,
+    needs_quota: bool,
+) -> Result<(), Refusal> {
+    let budget = call
+        .program
+        .as_ref()
+        .and_then(|program| program.budget_tokens);
+    let is_stream = matches!(route.kind, CallKind::Stream { .. });
+    let needs_quorum = is_stream && (budget.is_some() || route.keeps_turns);
+    let contact = edge.members.contact();
+    let now_ms = now_ms();
+    match (needs_quorum, needs_quota) {
+        (true, _) if !contact.has_quorum(now_ms) => {
+            Err(Refusal::not_now("group_lost", contact.retry_ms(now_ms)).moving_on())
+        }
+        (false, true) if !contact.has_member(now_ms) => {
+            Err(Refusal::not_now("group_lost", contact.retry_ms(now_ms)).moving_on())
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn read_body(
     configuration: &Configuration,
     body: Incoming,
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -13,10 +13,19 @@
 };
 
 use crate::clock::now_ms;
+use crate::contact::Contact;
 use crate::link::{Link, LinkError};
 
-/// Time for an answer, in milliseconds: a sync of a disk that is busy, and the way there.
-const ASK_TIMEOUT_MS: u64 = 400;
+/// Time for an answer, in milliseconds: several syncs of a disk, and the way there.
+const ASK_TIMEOUT_MS: u64 = 250;
+
+/// A reservation that failed sooner than this, in milliseconds, is tried once more: its
+/// connections were broken, or the group has changed.
+const QUICK_FAILURE_MS: u64 = 100;
+
+/// Members are probed if no quorum has answered for this long, in milliseconds: twice within
+/// the time after which the contact counts as lost.
+const PROBE_SILENCE_MS: u64 = 250;
 
 /// Time for an answer that needs no disk, in milliseconds.
 const QUICK_TIMEOUT_MS: u64 = 120;
@@ -50,6 +59,7 @@
     availability_zone: String,
     group: RefCell<Rc<Group>>,
     links: RefCell<HashMap<String, Rc<Link>>>,
+    contact: RefCell<Contact>,
 }
 
 impl Members {
@@ -58,6 +68,7 @@
             availability_zone: availability_zone.to_string(),
             group: RefCell::default(),
             links: RefCell::default(),
+            contact: RefCell::default(),
         }
     }
 
@@ -125,7 +136,43 @@
     ) -> Result<Answer, LinkError> {
         let link = self.link(member);
         let group_version = self.group().version;
-        link.ask(group_version, ask, timeout_ms).await
+        let answer = link.ask(group_version, ask, timeout_ms).await;
+        if answer.is_ok() {
+            self.contact.borrow_mut().note_member(now_ms());
+        }
+        answer
+    }
+
+    /// The contact with the group at present.
+    pub(crate) fn contact(&self) -> Contact {
+        *self.contact.borrow()
+    }
+
+    /// Asks all members whether they vote, if no quorum has answered lately.
+    pub(crate) async fn probe(self: &Rc<Self>) {
+        let silence_ms = self.contact().silence_ms(now_ms());
+        if silence_ms.is_some_and(|silence_ms| silence_ms < PROBE_SILENCE_MS) {
+            return;
+        }
+        let group = self.group();
+        let mut answers: FuturesUnordered<_> = group
+            .members
+            .iter()
+            .map(|member| self.spawn_ask(member.clone(), Ask::Status, QUICK_TIMEOUT_MS))
+            .collect();
+        let mut voting = 0;
+        while let Some(answer) = answers.next().await {
+            if let Ok(Ok(Answer::Status {
+                is_voting: true, ..
+            })) = answer
+            {
+                voting += 1;
+            }
+            if voting >= group.quorum() {
+                self.contact.borrow_mut().note_quorum(now_ms());
+                return;
+            }
+        }
     }
 
     /// Asks all members and collects charges until a quorum has answered.
@@ -156,6 +203,7 @@
                 _ => {}
             }
             if count >= group.quorum() {
+                self.contact.borrow_mut().note_quorum(now_ms());
                 return Ok(());
             }
         }
@@ -182,11 +230,12 @@
         reservation: &Reservation,
         budget_tokens: u64,
     ) -> Result<Decision, NoQuorum> {
-        let mut result = self.reserve_once(reservation, budget_tokens).await;
-        if result.is_err() {
-            result = self.reserve_once(reservation, budget_tokens).await;
+        let began_ms = now_ms();
+        let result = self.reserve_once(reservation, budget_tokens).await;
+        match result.is_err() && now_ms() < began_ms + QUICK_FAILURE_MS {
+            true => self.reserve_once(reservation, budget_tokens).await,
+            false => result,
         }
-        result
     }
 
     async fn reserve_once(
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -1,7 +1,7 @@
 //! Answers that an entry instance gives by itself.
 
 use bytes::Bytes;
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 use crate::edge::body::CallBody;
@@ -24,6 +24,8 @@
     /// When the caller may come back.
     pub retry_after_ms: Option<u64>,
     pub ran: Ran,
+    /// Callers should come back on a new connection, which may lead elsewhere.
+    pub closes: bool,
 }
 
 impl Refusal {
@@ -34,6 +36,7 @@
             reason,
             retry_after_ms: Some(retry_after_ms),
             ran: Ran::No,
+            closes: false,
         }
     }
 
@@ -44,6 +47,7 @@
             reason: "over_rate",
             retry_after_ms: Some(retry_after_ms),
             ran: Ran::No,
+            closes: false,
         }
     }
 
@@ -54,6 +58,7 @@
             reason,
             retry_after_ms: None,
             ran: Ran::No,
+            closes: false,
         }
     }
 
@@ -64,6 +69,15 @@
             reason,
             retry_after_ms: None,
             ran: Ran::Unknown,
+            closes: false,
+        }
+    }
+
+    /// The reason lies in this instance, so callers should try another.
+    pub(crate) fn moving_on(self) -> Refusal {
+        Refusal {
+            closes: true,
+            ..self
         }
     }
 
@@ -84,6 +98,9 @@
             CONTENT_TYPE,
             hyper::header::HeaderValue::from_static("application/json"),
         );
+        if self.closes {
+            headers.insert(CONNECTION, hyper::header::HeaderValue::from_static("close"));
+        }
         let retry_after = self
             .retry_after_ms
             .map(|ms| format!("{:.2}", ms as f64 / 1_000.0));
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -40,6 +40,9 @@
 /// milliseconds.
 const FIRST_GROUP_INTERVAL_MS: u64 = 400;
 
+/// Pause between two probes of the group, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 150;
+
 /// Pause between two rounds of closing unused connections, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 
@@ -53,6 +56,7 @@
     tokio::task::spawn_local(follow_endpoints(Rc::clone(edge)));
     tokio::task::spawn_local(read_group(Rc::clone(edge)));
     tokio::task::spawn_local(refill(Rc::clone(edge)));
+    tokio::task::spawn_local(probe(Rc::clone(edge)));
     tokio::task::spawn_local(sweep(Rc::clone(edge)));
 }
 
@@ -244,6 +248,21 @@
     }
 }
 
+async fn probe(edge: Rc<Edge>) {
+    let mut had_quorum = true;
+    loop {
+        edge.members.probe().await;
+        let has_quorum = edge.members.contact().has_quorum(now_ms());
+        match (had_quorum, has_quorum) {
+            (true, false) => log::warn!("event=group_lost"),
+            (false, true) => log::info!("event=group_regained"),
+            _ => {}
+        }
+        had_quorum = has_quorum;
+        pause(PROBE_INTERVAL_MS).await;
+    }
+}
+
 async fn refill(edge: Rc<Edge>) {
     loop {
         pause(REFILL_INTERVAL_MS).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod balance;
 mod clock;
 mod config;
+mod contact;
 mod directory;
 pub mod edge;
 mod events;
@@ -30,6 +31,7 @@
 pub use config::{
     CallKind, Configuration, Customer, Engine, Limits, Route, Service, ServiceShare,
 };
+pub use contact::Contact;
 pub use directory::{
     ConfigurationRead, EndpointChange, EndpointChanges, EndpointEntry, EndpointSnapshot,
     MetadataError, MetadataStore, OwnRecord, Retirement, RetirementState, StoreFuture,
