--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -58,6 +58,8 @@
     reported_ms: u64,
     failures: u32,
     paused_until_ms: u64,
+    /// It could not be reached, and has not been reached since.
+    is_suspended: bool,
     /// Average time to the first byte over the service's average.
     slowness: f64,
     slowness_ms: u64,
@@ -124,6 +126,7 @@
             reported_ms: 0,
             failures: 0,
             paused_until_ms: 0,
+            is_suspended: false,
             slowness: 1.0,
             slowness_ms: 0,
         });
@@ -211,10 +214,11 @@
             true => 1_000.0 + f64::from(endpoint.failures),
             false => 0.0,
         };
+        let suspended = if endpoint.is_suspended { 10_000.0 } else { 0.0 };
         let zone = if is_remote { ZONE_PENALTY } else { 0.0 };
         let cached = if is_known { AFFINITY_BONUS } else { 0.0 };
         let slowness = endpoint.slowness_at(now_ms);
-        load * slowness + (slowness - 1.0) * 0.5 + zone - cached + paused
+        load * slowness + (slowness - 1.0) * 0.5 + zone - cached + paused + suspended
     }
 
     /// Whether every endpoint of a service has more work than it can queue.
@@ -257,6 +261,23 @@
         }
     }
 
+    /// The endpoint could not be reached. It is used only if no other is there, until
+    /// `resume`. Returns false if that was known.
+    pub fn suspend(&mut self, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint
+            .is_some_and(|endpoint| !std::mem::replace(&mut endpoint.is_suspended, true))
+    }
+
+    /// The endpoint was reached again.
+    pub fn resume(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.is_suspended = false;
+            endpoint.failures = 0;
+            endpoint.paused_until_ms = 0;
+        }
+    }
+
     /// The endpoint has no room at the moment.
     pub fn reject(&mut self, now_ms: u64, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -19,7 +19,14 @@
 
 /// Time for a connection to an endpoint, in milliseconds: many times the way between the
 /// farthest zones and the time that a handshake takes there.
-const CONNECT_TIMEOUT_MS: u64 = 300;
+const CONNECT_TIMEOUT_MS: u64 = 120;
+
+/// Pause between two attempts to connect to an endpoint that could not be reached, in
+/// milliseconds.
+const PROBE_INTERVAL_MS: u64 = 300;
+
+/// How long a connection that has carried no request is used, in milliseconds.
+const FRESH_IDLE_MS: u64 = 1_500;
 
 /// What is sent, the same to each endpoint.
 #[derive(Clone, Debug)]
@@ -102,6 +109,7 @@
     let response = match sent.await {
         Ok(Ok(response)) => response,
         Ok(Err(SendError::NotSent(reason))) => {
+            probe_until_reachable(edge, pick);
             return Err(edge.endpoint_failed(pick, outgoing, Outcome::NotSent, &reason));
         }
         Ok(Err(SendError::Lost(reason))) => {
@@ -119,6 +127,31 @@
     examine(edge, pick, outgoing, response, lease)
 }
 
+/// Keeps requests away from an endpoint until it takes a connection again.
+fn probe_until_reachable(edge: &Rc<Edge>, pick: &Pick) {
+    if !edge.balancer.borrow_mut().suspend(pick.key) {
+        return;
+    }
+    let (edge, pick) = (Rc::clone(edge), pick.clone());
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
+            if !edge.balancer.borrow().contains(pick.key) {
+                return;
+            }
+            let connected = HttpLink::connect(pick.address, CONNECT_TIMEOUT_MS).await;
+            if let Ok(link) = connected {
+                log::info!("event=endpoint_reachable endpoint={}", pick.id);
+                edge.pool
+                    .borrow_mut()
+                    .put(now_ms(), pick.key, link, FRESH_IDLE_MS);
+                edge.balancer.borrow_mut().resume(pick.key);
+                return;
+            }
+        }
+    });
+}
+
 async fn connection(edge: &Rc<Edge>, pick: &Pick) -> Result<HttpLink, SendError> {
     let idle = edge.pool.borrow_mut().take(now_ms(), pick.key);
     match idle {
--- a/crates/gateway/src/http_link.rs
+++ b/crates/gateway/src/http_link.rs
@@ -24,8 +24,10 @@
 /// Probes without an answer after which the connection is closed.
 const KEEPALIVE_RETRIES: u32 = 2;
 
-/// Sent bytes that are not confirmed for this long close the connection.
-const UNCONFIRMED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Sent bytes that the other machine does not confirm for this long close the connection:
+/// many times the way between the farthest zones. A process that is only slow does not
+/// matter here, since its machine confirms for it.
+const UNCONFIRMED_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A connection. Dropping it closes the socket at once.
 #[derive(Debug)]
