gateway: finish programs that have begun before others begin; order engines by time left

Quota: the last part of each bucket is kept for programs that have begun. Engines: turns of programs with little time left go first, those of late programs last. Copies: an instance whose disk was lost reads the newest group from the store, and copies only after every turn that it may have answered before is decided. Found by the new search (crates/spec ledger): a turn answered before the loss and after it was counted twice, and a stale version of the group let two quorums miss each other.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use jayreel_ledger::{Decision, Reservation, TurnRecord};
+use jayreel_ledger::{Decision, QuotaUse, Reservation, TurnRecord};
 use rand::RngExt;
 
 use crate::balance::Pick;
@@ -23,6 +23,7 @@
 use crate::edge::turn_cache::prompt;
 use crate::protocol::CallHead;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
+use crate::urgency::engine_priority;
 
 /// With less time than this, in milliseconds, a request is not sent: an idle endpoint needs
 /// about as long for the shortest requests.
@@ -127,14 +128,19 @@
     check_group(edge, &route, &call, customer.is_some())?;
     let body = read_body(&configuration, body, limit_ms).await?;
     if let Some((name, customer)) = &customer {
-        edge.take_quota(name, customer.limit, configuration.version)
+        let quota_use = quota_use(edge, &call);
+        edge.take_quota(name, customer.limit, configuration.version, quota_use)
             .await?;
     }
     let engine = configuration.services.get(&service).and_then(|s| s.engine);
     let priority = customer
         .as_ref()
         .and_then(|(_, customer)| customer.priority);
-    let priority = priority.unwrap_or(route.priority).min(9);
+    let rank = priority.unwrap_or(route.priority);
+    let time_left_ms = call
+        .program
+        .as_ref()
+        .and_then(|program| program.time_left_ms);
     let admitted = Admitted {
         service,
         outgoing: Outgoing {
@@ -144,7 +150,7 @@
             body,
             request_id: call.request_id.clone(),
             customer: customer.map(|(name, _)| name),
-            priority: engine.map(|_| priority),
+            priority: engine.map(|_| engine_priority(rank, time_left_ms)),
         },
         route,
         call,
@@ -158,6 +164,18 @@
     }
 }
 
+/// Whether the program of a request is known to have begun.
+fn quota_use(edge: &Edge, call: &CallHead) -> QuotaUse {
+    let program = call.program.as_ref();
+    let has_begun = program.is_some_and(|program| {
+        call.previous_turn.is_some() || edge.affinity.borrow().contains_key(&program.id)
+    });
+    match has_begun {
+        true => QuotaUse::GoOn,
+        false => QuotaUse::Begin,
+    }
+}
+
 /// The target of the request as an endpoint gets it: path and query as the caller sent them.
 fn origin_form(parts: &Parts) -> hyper::Uri {
     let target = parts.uri.path_and_query().cloned();
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -15,6 +15,7 @@
 use crate::clock::now_ms;
 use crate::contact::Contact;
 use crate::link::{Link, LinkError};
+use crate::membership::DECISION_LIMIT_MS;
 
 /// Time for an answer, in milliseconds: several syncs of a disk, and the way there.
 const ASK_TIMEOUT_MS: u64 = 250;
@@ -45,6 +46,15 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct NoQuorum;
 
+/// A decision that took too long may rest on the answer of a member that has lost its disk
+/// since and votes again without knowing it.
+fn in_time(began_ms: u64, decision: Decision) -> Result<Decision, NoQuorum> {
+    match now_ms() < began_ms + DECISION_LIMIT_MS {
+        true => Ok(decision),
+        false => Err(NoQuorum),
+    }
+}
+
 /// Whether a turn exists.
 #[derive(Debug)]
 pub(crate) enum FoundChain {
@@ -243,6 +253,7 @@
         reservation: &Reservation,
         budget_tokens: u64,
     ) -> Result<Decision, NoQuorum> {
+        let began_ms = now_ms();
         let mut tally = Tally::new(&reservation.turn);
         let ask = Ask::Reserve(reservation.clone());
         let version = self.group().version;
@@ -250,12 +261,15 @@
         let most_tokens = reservation.most_tokens;
         let decision = tally.decide(Phase::Reserved, budget_tokens, most_tokens);
         if decision != Decision::Reread {
-            return Ok(decision);
+            return in_time(began_ms, decision);
         }
         let ask = Ask::Charges(reservation.program.clone());
         self.charges(&ask, QUICK_TIMEOUT_MS, &mut tally).await?;
         match self.group().version == version {
-            true => Ok(tally.decide(Phase::Reread, budget_tokens, most_tokens)),
+            true => {
+                let decision = tally.decide(Phase::Reread, budget_tokens, most_tokens);
+                in_time(began_ms, decision)
+            }
             false => Err(NoQuorum),
         }
     }
--- a/crates/gateway/src/edge/quota.rs
+++ b/crates/gateway/src/edge/quota.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use jayreel_ledger::{QuotaWant, RateLimit};
+use jayreel_ledger::{QuotaUse, QuotaWant, RateLimit};
 
 use crate::clock::now_ms;
 use crate::edge::Edge;
@@ -35,15 +35,18 @@
         customer: &str,
         limit: RateLimit,
         version: u64,
+        quota_use: QuotaUse,
     ) -> Result<(), Refusal> {
         if limit.rate_per_s <= 0.0 || self.quota.borrow_mut().take(now_ms(), customer) {
             return Ok(());
         }
         let until_ms = self.over_rate_until_ms.borrow().get(customer).copied();
-        if until_ms.is_some_and(|until_ms| now_ms() < until_ms) {
+        let is_paused = until_ms.is_some_and(|until_ms| now_ms() < until_ms);
+        if is_paused && quota_use != QuotaUse::GoOn {
             return Err(over_rate(limit));
         }
-        self.take_from_members(customer, limit, version).await
+        self.take_from_members(customer, limit, version, quota_use)
+            .await
     }
 
     async fn take_from_members(
@@ -51,20 +54,20 @@
         customer: &str,
         limit: RateLimit,
         version: u64,
+        quota_use: QuotaUse,
     ) -> Result<(), Refusal> {
         let mut has_answer = false;
         for member in self.members.in_order(customer) {
-            let asked_ms = now_ms();
             let want = QuotaWant {
                 customer: customer.to_string(),
-                requests: 2,
+                requests: 1,
+                quota_use,
                 limit,
             };
             let granted = self.members.take_quota(&member, version, vec![want]).await;
             let count = granted.and_then(|granted| granted.first().copied());
             has_answer |= count.is_some();
-            if let Some(count) = count.filter(|count| *count > 0) {
-                self.quota.borrow_mut().add(asked_ms, customer, count - 1);
+            if count.is_some_and(|count| count > 0) {
                 return Ok(());
             }
         }
@@ -90,6 +93,7 @@
                 Some(QuotaWant {
                     customer,
                     requests,
+                    quota_use: QuotaUse::Advance,
                     limit,
                 })
             })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod retry;
 mod settings;
 pub mod storage;
+mod urgency;
 
 pub use balance::{Balancer, EndpointKey, Pick};
 pub use clock::{Clock, now_ms};
@@ -44,3 +45,4 @@
 pub use quota_stock::QuotaStock;
 pub use retry::{Attempt, Outcome, RetryPolicy, Step};
 pub use settings::{Bounds, NodeSettings, ProcessLimits};
+pub use urgency::engine_priority;
--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::now_ms;
 use crate::directory::{MetadataError, RetirementState};
-use crate::membership::{GROUP_RECORD, MEMBER_RECORDS, Proposal, Watcher};
+use crate::membership::{COPY_DELAY_MS, GROUP_RECORD, MEMBER_RECORDS, Proposal, Watcher};
 use crate::storage::node::{ConfigurationFacts, Event};
 use crate::storage::serve::Storage;
 
@@ -90,8 +90,16 @@
 }
 
 /// Copies the facts of other members while this one lacks some.
+///
+/// The newest group must have been read from the store: another instance may have told of an
+/// older one, whose end this one promised to others before its disk was lost.
 async fn copy_missing(storage: Rc<Storage>) {
+    pause(COPY_DELAY_MS).await;
     loop {
+        if !storage.has_read_group.get() {
+            pause(COPY_INTERVAL_MS).await;
+            continue;
+        }
         let sources = storage.node.borrow().copy_sources();
         for source in sources {
             copy_from(&storage, &source).await;
@@ -112,6 +120,10 @@
     while let Some(next) = cursor {
         let ask = Ask::CopyPart { cursor: next };
         let answer = link.ask(version, ask, PART_TIMEOUT_MS).await;
+        if let Ok(Answer::Closed(newer)) = answer {
+            storage.apply(Event::GroupLearned(newer));
+            return;
+        }
         let Ok(Answer::Part {
             facts,
             next,
@@ -180,7 +192,11 @@
     watcher: &RefCell<Watcher>,
     retired: &mut Option<RetirementState>,
 ) -> Result<(), MetadataError> {
-    let records = storage.store.own_records(GROUP_RECORD, true).await?;
+    let is_stale_allowed = storage.node.borrow().has_voted();
+    let records = storage
+        .store
+        .own_records(GROUP_RECORD, is_stale_allowed)
+        .await?;
     let record = records
         .into_iter()
         .find(|record| record.name == GROUP_RECORD);
@@ -189,6 +205,7 @@
     };
     let group = decode::<Group>(&record.content)?;
     storage.apply(Event::GroupLearned(group.clone()));
+    storage.has_read_group.set(true);
     let retiring = storage.store.retirements().await?;
     let retiring: Vec<String> = retiring.into_iter().map(|one| one.instance).collect();
     let me = storage.me();
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -157,6 +157,11 @@
         self.standing == Standing::Voting
     }
 
+    /// Whether the instance has voted in any version, as its disk tells.
+    pub fn has_voted(&self) -> bool {
+        self.book.complete_version().is_some()
+    }
+
     /// Members whose facts must be copied before the instance votes.
     pub fn copy_sources(&self) -> Vec<Member> {
         match &self.standing {
@@ -269,6 +274,7 @@
                 | Ask::KeepTurn(_)
                 | Ask::Chain { .. }
                 | Ask::TakeQuota { .. }
+                | Ask::CopyPart { .. }
         );
         match needs_group {
             false => None,
@@ -276,6 +282,7 @@
                 Some(Answer::Closed(self.group.clone()))
             }
             true if group_version > self.group.version => Some(Answer::Unavailable),
+            true if matches!(ask, Ask::CopyPart { .. }) => None,
             true if self.standing == Standing::Spare => Some(Answer::NotVoting),
             true => None,
         }
@@ -326,10 +333,10 @@
     fn grant(&mut self, now_ms: u64, version: u64, wants: &[QuotaWant]) -> Answer {
         let parts = self.group.members.len();
         let granted = wants.iter().map(|want| {
+            let customer = &want.customer;
+            self.rates.learn(now_ms, version, customer, want.limit);
             self.rates
-                .learn(now_ms, version, &want.customer, want.limit);
-            self.rates
-                .take(now_ms, &want.customer, want.requests, parts)
+                .take(now_ms, customer, want.requests, parts, want.quota_use)
         });
         Answer::Quota(granted.collect())
     }
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -31,6 +31,8 @@
     pub node: RefCell<Node>,
     disk: Disk,
     logged_bytes: Cell<u64>,
+    /// The group was read from the store since the start.
+    pub has_read_group: Cell<bool>,
     connections: RefCell<SlotMap<ConnectionKey, mpsc::UnboundedSender<Reply>>>,
     links: RefCell<HashMap<String, Rc<Link>>>,
 }
@@ -62,6 +64,7 @@
         node: RefCell::new(node),
         disk,
         logged_bytes: Cell::new(0),
+        has_read_group: Cell::new(false),
         connections: RefCell::default(),
         links: RefCell::default(),
     });
--- /dev/null
+++ b/crates/gateway/tests/contact.rs
@@ -0,0 +1,67 @@
+//! Contact with the group, freshness of the configuration, tokens of customers.
+
+use jayreel_gateway::{Contact, Freshness, QuotaStock};
+
+/// An instance that is cut off from the group notices within a second, and asks callers to
+/// come back when the balancer has sent them elsewhere.
+#[test]
+fn cut_off_instance_notices() {
+    let mut contact = Contact::default();
+    assert!(!contact.has_quorum(0));
+    contact.note_quorum(1_000);
+    assert!(contact.has_quorum(1_500));
+    assert!(!contact.has_quorum(2_000));
+    assert!(contact.retry_ms(2_000) > contact.retry_ms(1_100));
+    assert!(contact.retry_ms(60_000) <= 1_000);
+}
+
+#[test]
+fn one_member_is_no_quorum() {
+    let mut contact = Contact::default();
+    contact.note_member(1_000);
+    assert!(contact.has_member(1_100));
+    assert!(!contact.has_quorum(1_100));
+}
+
+/// A key that was withdrawn after the last proof must not run for longer than agreed.
+#[test]
+fn old_proof_admits_nothing() {
+    let mut freshness = Freshness::default();
+    assert!(!freshness.admits(0, 5_000));
+    freshness.prove(10_000);
+    assert!(freshness.admits(14_000, 5_000));
+    assert!(!freshness.admits(15_000, 5_000));
+    freshness.prove(9_000);
+    assert_eq!(
+        freshness.age_ms(10_000),
+        Some(0),
+        "an older proof takes nothing away"
+    );
+}
+
+#[test]
+fn tokens_lapse() {
+    let mut stock = QuotaStock::default();
+    stock.add(1_000, "c", 2);
+    assert!(stock.take(1_100, "c"));
+    assert!(!stock.take(2_000, "c"), "the second token has lapsed");
+}
+
+/// A customer that sends steadily gets its tokens before it needs them; one that sends now
+/// and then holds none back from others.
+#[test]
+fn tokens_are_wanted_for_steady_demand_only() {
+    let mut stock = QuotaStock::default();
+    for request in 0..200 {
+        stock.take(request * 10, "steady");
+    }
+    stock.take(1_990, "rare");
+    let wanted = stock.wanted(2_000, 250);
+    let steady = wanted.iter().find(|(customer, _)| customer == "steady");
+    let steady = steady.map(|(_, count)| *count).unwrap_or(0);
+    assert!(
+        (15..=30).contains(&steady),
+        "{steady} for 100 requests a second"
+    );
+    assert!(!wanted.iter().any(|(customer, _)| customer == "rare"));
+}
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// An instance with a disk.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Member {
     /// Name of the instance.
     pub name: String,
@@ -18,7 +18,7 @@
 
 /// One membership. Each change makes a new version, written to the platform's store under
 /// the condition that the version before is still the newest.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Group {
     /// Grows with each change.
     pub version: u64,
@@ -106,7 +106,7 @@
 /// It copies the facts of a quorum of the other members, since it may have voted in this
 /// version before its disk was lost. If it was no member of the version before, it also
 /// copies those of a quorum of that one. Each earlier fact has a copy in any such quorum.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct CatchUp {
     sources: Vec<Member>,
     requirements: Vec<Requirement>,
@@ -114,7 +114,7 @@
 }
 
 /// So many of these instances must be copied.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Requirement {
     names: BTreeSet<String>,
     needed: usize,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -25,4 +25,4 @@
 pub use group::{CatchUp, Group, Member};
 pub use log::{decode_frames, encode_frame};
 pub use message::{Answer, Ask, Freshness, QuotaWant, Reply, Request};
-pub use rate::{RateLimit, RateShare};
+pub use rate::{QuotaUse, RateLimit, RateShare};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -4,7 +4,7 @@
 
 use crate::fact::{ChargeView, Fact, ProgramKey, Reservation, Settlement, TurnRecord};
 use crate::group::Group;
-use crate::rate::RateLimit;
+use crate::rate::{QuotaUse, RateLimit};
 
 /// A numbered question on a connection.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -33,6 +33,8 @@
     pub customer: String,
     /// Requests that it wants to admit.
     pub requests: u32,
+    /// What they are for.
+    pub quota_use: QuotaUse,
     /// The customer's limit as the sender knows it.
     pub limit: RateLimit,
 }
--- a/crates/ledger/src/rate.rs
+++ b/crates/ledger/src/rate.rs
@@ -21,6 +21,32 @@
 /// Smallest capacity of a bucket, in requests: without one whole token none is ever given.
 const LEAST_CAPACITY: f64 = 1.0;
 
+/// What tokens are taken for.
+///
+/// Answers the pattern of a customer that sends several times its limit in programs of many
+/// requests: if each request has the same chance, most programs begin and hardly any ends.
+/// The last part of a bucket is kept for programs that have begun.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum QuotaUse {
+    /// A request of a program that has begun.
+    GoOn,
+    /// The first request of a program, or one without a program.
+    Begin,
+    /// Requests that have not come yet.
+    Advance,
+}
+
+impl QuotaUse {
+    /// Part of a bucket that is kept for more urgent uses.
+    fn kept_part(self) -> f64 {
+        match self {
+            QuotaUse::GoOn => 0.0,
+            QuotaUse::Begin => 0.4,
+            QuotaUse::Advance => 0.6,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Bucket {
     tokens: f64,
@@ -62,6 +88,7 @@
         customer: &str,
         requests: u32,
         parts: usize,
+        quota_use: QuotaUse,
     ) -> u32 {
         let Some(limit) = self.limits.get(customer).copied() else {
             return 0;
@@ -73,7 +100,10 @@
         let elapsed_ms = now_ms.saturating_sub(bucket.updated_ms) as f64;
         bucket.tokens = (bucket.tokens + elapsed_ms * rate_per_ms).min(capacity);
         bucket.updated_ms = now_ms;
-        let granted = bucket.tokens.floor().min(f64::from(requests));
+        // A full bucket gives one token whatever it is for.
+        let kept = (quota_use.kept_part() * capacity).min(capacity - 1.0);
+        let free = (bucket.tokens - kept).max(0.0);
+        let granted = free.floor().min(f64::from(requests));
         bucket.tokens -= granted;
         granted as u32
     }
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod home_weights_instance;
 mod home_weights_loans;
 pub mod home_weights_world;
+pub mod ledger;
 pub mod ownership;
 pub mod ownership_budget;
 pub mod ownership_calls;
