--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -98,22 +98,17 @@
             group.members.len()
         );
         *self.group.borrow_mut() = Rc::new(group);
-        let group = self.group();
-        for member in &group.members {
-            let members = Rc::clone(self);
-            let (group, member) = (Rc::clone(&group), member.clone());
-            tokio::task::spawn_local(async move {
-                let ask = Ask::Adopt(Group::clone(&group));
-                if let Err(error) = members.ask(&member, ask, QUICK_TIMEOUT_MS).await {
-                    log::debug!(
-                        "event=adopt_failed member={} reason={error}",
-                        member.name
-                    );
-                }
-            });
+        for member in &self.group().members {
+            self.tell_group(member);
         }
     }
 
+    /// Tells a member the newest group.
+    fn tell_group(self: &Rc<Self>, member: &Member) {
+        let ask = Ask::Adopt(Group::clone(&self.group()));
+        drop(self.spawn_ask(member.clone(), ask, QUICK_TIMEOUT_MS));
+    }
+
     /// Members, those of the own availability zone first. The order of the others depends
     /// on the key, so that load spreads.
     pub(crate) fn in_order(&self, key: &str) -> Vec<Member> {
@@ -168,15 +163,23 @@
         let mut answers: FuturesUnordered<_> = group
             .members
             .iter()
-            .map(|member| self.spawn_ask(member.clone(), Ask::Status, QUICK_TIMEOUT_MS))
+            .map(|member| async move {
+                let answer = self.ask(member, Ask::Status, QUICK_TIMEOUT_MS).await;
+                (member, answer)
+            })
             .collect();
         let mut voting = 0;
-        while let Some(answer) = answers.next().await {
-            if let Ok(Ok(Answer::Status {
-                is_voting: true, ..
-            })) = answer
-            {
-                voting += 1;
+        while let Some((member, answer)) = answers.next().await {
+            match answer {
+                Ok(Answer::Status { group_version, .. })
+                    if group_version < group.version =>
+                {
+                    self.tell_group(member);
+                }
+                Ok(Answer::Status {
+                    is_voting: true, ..
+                }) => voting += 1,
+                _ => {}
             }
             if voting >= group.quorum() {
                 self.contact.borrow_mut().note_quorum(now_ms());
--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -148,19 +148,21 @@
 }
 
 async fn tend_group(storage: Rc<Storage>) {
-    register(&storage).await;
-    pause(FOUNDING_DELAY_MS).await;
+    let founding_ms = now_ms() + FOUNDING_DELAY_MS;
+    tokio::task::spawn_local(register(Rc::clone(&storage)));
     let watcher = RefCell::new(Watcher::default());
     let mut retired = None;
     loop {
-        if let Err(error) = look_after(&storage, &watcher, &mut retired).await {
+        if let Err(error) =
+            look_after(&storage, founding_ms, &watcher, &mut retired).await
+        {
             log::debug!("event=group_untended reason={error:?}");
         }
         pause(GROUP_INTERVAL_MS).await;
     }
 }
 
-async fn register(storage: &Storage) {
+async fn register(storage: Rc<Storage>) {
     let me = storage.me();
     let name = format!("{MEMBER_RECORDS}{}", me.name);
     loop {
@@ -191,6 +193,7 @@
 
 async fn look_after(
     storage: &Rc<Storage>,
+    founding_ms: u64,
     watcher: &RefCell<Watcher>,
     retired: &mut Option<RetirementState>,
 ) -> Result<(), MetadataError> {
@@ -203,7 +206,10 @@
         .into_iter()
         .find(|record| record.name == GROUP_RECORD);
     let Some(record) = record else {
-        return found(storage).await;
+        return match now_ms() < founding_ms {
+            true => Ok(()),
+            false => found(storage).await,
+        };
     };
     let group = decode::<Group>(&record.content)?;
     storage.apply(Event::GroupLearned(group.clone()));
