--- /dev/null
+++ b/crates/gateway/tests/storage.rs
@@ -0,0 +1,258 @@
+//! An instance with a disk: when it answers, when it votes, what survives.
+
+use bytes::Bytes;
+use jayreel_gateway::storage::{ConnectionKey, Disk, Effect, Event, Node};
+use jayreel_ledger::{
+    Answer, Ask, Fact, Group, Member, ProgramKey, Request, Reservation, TurnRecord,
+    decode_frames, encode_frame,
+};
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.to_string(),
+        availability_zone: name.to_string(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+    }
+}
+
+fn group() -> Group {
+    Group::first(&["a", "b", "c"].map(member), 1)
+}
+
+fn founder(name: &str) -> Node {
+    let mut node = Node::new(name, true, 0, &[]);
+    node.apply(0, Event::GroupLearned(group()));
+    node
+}
+
+fn reservation(turn: &str) -> Reservation {
+    Reservation {
+        program: ProgramKey {
+            customer: "customer".to_string(),
+            program: "program".to_string(),
+        },
+        turn: turn.to_string(),
+        most_tokens: 100,
+    }
+}
+
+fn record(turn: &str) -> TurnRecord {
+    TurnRecord {
+        turn: turn.to_string(),
+        customer: "customer".to_string(),
+        previous: None,
+        input: Bytes::from_static(b"input"),
+        output: Bytes::from_static(b"output\n"),
+        keep_ms: 60_000,
+    }
+}
+
+fn ask(node: &mut Node, group_version: u64, ask: Ask) -> Vec<Effect> {
+    let request = Request {
+        id: 1,
+        group_version,
+        ask,
+    };
+    let connection = ConnectionKey::default();
+    node.apply(
+        1,
+        Event::Asked {
+            connection,
+            request,
+        },
+    )
+}
+
+fn answers(effects: &[Effect]) -> Vec<Answer> {
+    let replies = effects.iter().filter_map(|effect| match effect {
+        Effect::Reply { reply, .. } => Some(reply.answer.clone()),
+        Effect::Append { .. } => None,
+    });
+    replies.collect()
+}
+
+fn appended(effects: &[Effect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Append { number, .. } => Some(*number),
+        Effect::Reply { .. } => None,
+    })
+}
+
+/// A turn that was told to be kept must survive the loss of power right after.
+#[test]
+fn reply_waits_for_the_disk() {
+    let mut node = founder("a");
+    let effects = ask(&mut node, 1, Ask::KeepTurn(record("t")));
+    assert!(answers(&effects).is_empty());
+    let number = appended(&effects).expect("the turn is written");
+    let effects = node.apply(2, Event::Synced { through: number });
+    assert_eq!(answers(&effects), [Answer::Done]);
+}
+
+/// A question that was repeated because its answer was lost is answered at once if what it
+/// tells is on disk.
+#[test]
+fn repeated_question_does_not_wait_for_the_next_write() {
+    let mut node = founder("a");
+    let effects = ask(&mut node, 1, Ask::KeepTurn(record("t")));
+    let number = appended(&effects).expect("the turn is written");
+    node.apply(2, Event::Synced { through: number });
+    let effects = ask(&mut node, 1, Ask::KeepTurn(record("t")));
+    assert_eq!(answers(&effects), [Answer::Done]);
+    assert_eq!(appended(&effects), None);
+}
+
+#[test]
+fn charges_list_the_turns_of_a_program() {
+    let mut node = founder("a");
+    let effects = ask(&mut node, 1, Ask::Reserve(reservation("t1")));
+    let number = appended(&effects).expect("the reservation is written");
+    node.apply(2, Event::Synced { through: number });
+    let effects = ask(&mut node, 1, Ask::Charges(reservation("t1").program));
+    match &answers(&effects)[..] {
+        [Answer::Charges(charges)] => {
+            assert_eq!(charges.len(), 1);
+            assert_eq!(charges[0].tokens, 100);
+            assert!(!charges[0].is_settled);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Two quorums of different versions need not meet, so a version ends before the next begins.
+#[test]
+fn closed_version_is_not_answered() {
+    let mut node = founder("a");
+    let next = group().replace(Some("b"), Some(member("d")));
+    node.apply(1, Event::GroupLearned(next.clone()));
+    assert!(node.is_voting(), "it was complete in the version before");
+    let effects = ask(&mut node, 1, Ask::Reserve(reservation("t")));
+    assert_eq!(answers(&effects), [Answer::Closed(next)]);
+}
+
+/// A copy taken from a member that knows a newer version could be used to vote in the older
+/// one, which that member has promised to end.
+#[test]
+fn copy_is_not_given_across_versions() {
+    let mut node = founder("a");
+    let next = group().replace(Some("b"), Some(member("d")));
+    node.apply(1, Event::GroupLearned(next.clone()));
+    let effects = ask(&mut node, 1, Ask::CopyPart { cursor: 0 });
+    assert_eq!(answers(&effects), [Answer::Closed(next)]);
+}
+
+/// A member whose disk was lost knows neither charges nor turns; it must not say so.
+#[test]
+fn member_with_an_empty_disk_votes_only_after_copying() {
+    let mut node = Node::new("a", false, 0, &[]);
+    node.apply(0, Event::GroupLearned(group()));
+    assert!(!node.is_voting());
+    let turn = "t".to_string();
+    let effects = ask(&mut node, 1, Ask::Chain { turn });
+    assert_eq!(answers(&effects), [Answer::NotVoting]);
+    for source in ["b", "c"] {
+        assert!(!node.is_voting());
+        let facts = vec![Fact::Turn(record("t"))];
+        node.apply(
+            1,
+            Event::Copied {
+                source: source.to_string(),
+                facts,
+                is_last: true,
+            },
+        );
+    }
+    assert!(node.is_voting());
+    let turn = "t".to_string();
+    let effects = ask(&mut node, 1, Ask::Chain { turn });
+    assert_eq!(answers(&effects), [Answer::Chain(vec![record("t")])]);
+}
+
+/// After a kill of all processes members waited for their next look at the store before they
+/// answered (scale-1 of dvcra-council-reports): being told the group is enough.
+#[test]
+fn member_votes_as_soon_as_it_is_told_the_group() {
+    let facts = [Fact::Complete { group_version: 1 }];
+    let mut node = Node::new("a", false, 0, &facts);
+    assert!(!node.is_voting());
+    let effects = ask(&mut node, 1, Ask::Adopt(group()));
+    assert_eq!(answers(&effects), [Answer::Done]);
+    assert!(node.is_voting());
+}
+
+/// A part of the copy that completeness was claimed for must not come from another log.
+#[test]
+fn mark_of_completeness_is_not_copied() {
+    let mut node = Node::new("a", false, 0, &[]);
+    node.apply(0, Event::GroupLearned(group()));
+    let facts = vec![Fact::Complete { group_version: 1 }];
+    ask(&mut node, 1, Ask::KeepFacts(facts));
+    assert!(!node.has_voted());
+}
+
+fn frames(facts: &[Fact]) -> Vec<u8> {
+    let mut frames = Vec::new();
+    for fact in facts {
+        encode_frame(fact, &mut frames).expect("a fact can be encoded");
+    }
+    frames
+}
+
+/// After a loss of power the end of the log may be torn at any byte.
+#[test]
+fn torn_log_gives_the_whole_facts_before() {
+    let facts = [Fact::Turn(record("t1")), Fact::Turn(record("t2"))];
+    let bytes = frames(&facts);
+    let first = frames(&facts[..1]).len();
+    for length in 0..bytes.len() {
+        let (read, whole) = decode_frames(&bytes[..length]);
+        let expected = usize::from(length >= first);
+        assert_eq!(read.len(), expected, "cut at {length}");
+        assert_eq!(whole, expected * first);
+    }
+    for index in 0..bytes.len() {
+        let mut spoiled = bytes.clone();
+        spoiled[index] ^= 0x40;
+        let (read, _) = decode_frames(&spoiled);
+        assert!(read.len() < 2, "byte {index}");
+        assert!(read.iter().zip(&facts).all(|(read, fact)| read == fact));
+    }
+}
+
+struct Folder(std::path::PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let name = format!("jayreel-{name}-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("a folder for the test");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // A folder that is left behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[tokio::test]
+async fn log_is_read_again_after_restarts_and_a_replacement() {
+    let folder = Folder::new("log");
+    let (disk, facts, mut synced) =
+        Disk::open(&folder.0).expect("the folder can be used");
+    assert!(facts.is_empty());
+    disk.append(1, frames(&[Fact::Turn(record("t1"))]));
+    assert_eq!(synced.recv().await, Some(1));
+    disk.close();
+    let (disk, facts, mut synced) =
+        Disk::open(&folder.0).expect("the folder can be used");
+    assert_eq!(facts, [Fact::Turn(record("t1"))]);
+    disk.replace(frames(&[Fact::Turn(record("t2"))]));
+    disk.append(2, frames(&[Fact::Turn(record("t3"))]));
+    assert_eq!(synced.recv().await, Some(2));
+    disk.close();
+    let (_, facts, _) = Disk::open(&folder.0).expect("the folder can be used");
+    assert_eq!(facts, [Fact::Turn(record("t2")), Fact::Turn(record("t3"))]);
+}
--- a/crates/spec/src/ledger.rs
+++ b/crates/spec/src/ledger.rs
@@ -285,7 +285,7 @@
             return;
         }
         let complete = source.complete;
-        if !complete.is_some_and(|complete| complete + 1 >= source.version) {
+        if complete.is_none_or(|complete| complete + 1 < source.version) {
             return;
         }
         let instance = &mut self.instances[to];
