--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -9,12 +9,21 @@
     let mut contact = Contact::default();
     assert!(!contact.has_quorum(0));
     contact.note_quorum(1_000);
-    assert!(contact.has_quorum(1_250), "one question that timed out is not enough");
+    assert!(
+        contact.has_quorum(1_250),
+        "one question that timed out is not enough"
+    );
     assert!(!contact.has_quorum(2_000));
     assert!(contact.retry_ms(2_000) > contact.retry_ms(1_500));
-    assert!(contact.retry_ms(60_000) <= 1_000, "a third of three seconds");
+    assert!(
+        contact.retry_ms(60_000) <= 1_000,
+        "a third of three seconds"
+    );
     assert!(contact.is_ready(1_250));
-    assert!(!contact.is_ready(1_400), "the balancer hears of it before callers do");
+    assert!(
+        !contact.is_ready(1_400),
+        "the balancer hears of it before callers do"
+    );
 }
 
 #[test]
