--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    fn program(&self) -> Option<&str> {
+    pub(crate) fn program(&self) -> Option<&str> {
         self.call
             .program
             .as_ref()
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -30,6 +30,7 @@
 use crate::edge::refusal::Refusal;
 use crate::edge::turn_cache::TurnCache;
 use crate::freshness::Freshness;
+use crate::log_queue::LineBudget;
 use crate::metrics::Metrics;
 use crate::protocol::CallProtocol;
 use crate::quota_stock::QuotaStock;
@@ -65,6 +66,7 @@
     pub affinity: RefCell<HashMap<String, String>>,
     has_endpoints: Cell<bool>,
     is_stopping: Cell<bool>,
+    answer_log: RefCell<LineBudget>,
     pub metrics: Metrics,
 }
 
@@ -99,6 +101,7 @@
             affinity: RefCell::default(),
             has_endpoints: Cell::new(false),
             is_stopping: Cell::new(false),
+            answer_log: RefCell::default(),
             metrics: Metrics::new(),
         }
     }
@@ -165,14 +168,20 @@
             }
             affinity.insert(program.id.clone(), pick.id.clone());
         }
-        if !status.is_success() {
-            log::info!(
-                "event=answer request={} endpoint={} status={} elapsed_ms={elapsed_ms}",
-                admitted.call.request_id,
-                pick.id,
-                status.as_u16(),
-            );
+        if status.is_success() && !self.answer_log.borrow_mut().take(now_ms()) {
+            return;
         }
+        log::info!(
+            "event=answered request={} program={} customer={customer} route={} endpoint={} \
+             remote={} status={} configuration_version={} elapsed_ms={elapsed_ms}",
+            admitted.call.request_id,
+            admitted.program().unwrap_or("none"),
+            admitted.route.name,
+            pick.id,
+            pick.is_remote,
+            status.as_u16(),
+            self.configuration().version,
+        );
     }
 
     fn note_complete(&self, admitted: &Admitted) {
@@ -180,6 +189,14 @@
         self.metrics.streamed(&admitted.route.name, elapsed_ms);
     }
 
+    /// Says how many answers were left out of the log since the last time.
+    fn sum_up_log(&self) {
+        let count = self.answer_log.borrow_mut().sum_up();
+        if count > 0 {
+            log::info!("event=answered_summed count={count}");
+        }
+    }
+
     fn note_refusal(&self, request_id: &str, refusal: &Refusal, elapsed_ms: u64) {
         self.metrics.refused(refusal.reason);
         log::info!(
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -274,6 +274,7 @@
 async fn sweep(edge: Rc<Edge>) {
     loop {
         pause(SWEEP_INTERVAL_MS).await;
+        edge.sum_up_log();
         let balancer = edge.balancer.borrow();
         let mut pool = edge.pool.borrow_mut();
         pool.sweep(now_ms(), |key| balancer.contains(key));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod freshness;
 pub mod http_link;
 mod link;
+mod log_queue;
 mod membership;
 mod metrics;
 mod protocol;
@@ -39,6 +40,7 @@
 };
 pub use events::{EventReader, StreamEvent};
 pub use freshness::Freshness;
+pub use log_queue::{LineBudget, LogQueue, MOST_WAITING_LINES};
 pub use protocol::{
     BadRequest, CallHead, CallProtocol, EndpointHeaders, EndpointReply, Load, ProgramCall,
 };
