gateway: give silent endpoints up in time where another may be tried; bound idle connections

Requests that may run again wait four targets for the head of an answer, then go to another endpoint. A connection that was closed while idle no longer takes its endpoint out of use. Settings and configuration fields that nothing uses are gone.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -66,8 +66,6 @@
     Stream {
         /// Another endpoint can continue it after the last event that arrived.
         is_resumable: bool,
-        /// Longest pause between events with which it is still on time, in milliseconds.
-        pause_target_ms: u64,
     },
 }
 
@@ -134,8 +132,6 @@
 pub struct Engine {
     /// Tokens that each event of a stream stands for.
     pub event_tokens: u32,
-    /// Requests that run at once.
-    pub slots: u32,
 }
 
 impl Configuration {
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -16,7 +16,7 @@
 use crate::config::{CallKind, Configuration, Customer, Route};
 use crate::edge::Edge;
 use crate::edge::body::CallBody;
-use crate::edge::exchange::{Answered, Outgoing, send};
+use crate::edge::exchange::{Answered, Outgoing, SendTimes, send};
 use crate::edge::members::{FoundChain, Members};
 use crate::edge::refusal::{Ran, Refusal};
 use crate::edge::stream::{self, BudgetHold, StreamCall};
@@ -54,6 +54,11 @@
 /// Size of an answer of a plain service that is held to be handed over whole, in bytes.
 const MOST_ANSWER_BYTES: usize = 16 << 20;
 
+/// Part of the connections that an endpoint accepts from all callers that one instance keeps
+/// idle, and the least number: instances do not know how many they are.
+const IDLE_PART: usize = 32;
+const LEAST_IDLE: usize = 2;
+
 /// A request that may run, with all that its sends need.
 pub(crate) struct Admitted {
     pub route: Route,
@@ -72,6 +77,15 @@
         self.limit_ms.saturating_sub(elapsed_ms)
     }
 
+    pub(crate) fn send_times(&self, attempt: &Attempt) -> SendTimes {
+        let left_ms = self.time_left_ms();
+        let target_ms = self.route.target_ms;
+        SendTimes {
+            left_ms,
+            patience_ms: attempt.patience_ms(self.policy(), target_ms, left_ms),
+        }
+    }
+
     pub(crate) fn policy(&self) -> RetryPolicy {
         RetryPolicy {
             kind: self.route.kind,
@@ -132,7 +146,9 @@
         edge.take_quota(name, customer.limit, configuration.version, quota_use)
             .await?;
     }
-    let engine = configuration.services.get(&service).and_then(|s| s.engine);
+    let settings = configuration.services.get(&service);
+    let engine = settings.and_then(|service| service.engine);
+    let most_connections = settings.map_or(0, |service| service.max_connections);
     let priority = customer
         .as_ref()
         .and_then(|(_, customer)| customer.priority);
@@ -151,6 +167,7 @@
             request_id: call.request_id.clone(),
             customer: customer.map(|(name, _)| name),
             priority: engine.map(|_| engine_priority(rank, time_left_ms)),
+            most_idle: most_connections / IDLE_PART + LEAST_IDLE,
         },
         route,
         call,
@@ -303,9 +320,9 @@
     loop {
         let pick = pick_endpoint(edge, admitted, &attempt, &tried)?;
         tried.push(pick.id.clone());
-        let time_left_ms = admitted.time_left_ms();
+        let times = admitted.send_times(&attempt);
         let sent_ms = now_ms();
-        let answered = send(edge, &pick, &admitted.outgoing, None, time_left_ms).await;
+        let answered = send(edge, &pick, &admitted.outgoing, None, times).await;
         let outcome = match answered {
             Ok(answered) => match collect(edge, admitted, answered).await {
                 Some((answer, key)) => {
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -38,6 +38,17 @@
     pub request_id: String,
     pub customer: Option<String>,
     pub priority: Option<u8>,
+    /// Idle connections to one endpoint that are kept.
+    pub most_idle: usize,
+}
+
+/// Times for one send, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendTimes {
+    /// Until the caller's time is over. The endpoint is told this.
+    pub left_ms: u64,
+    /// Until the head of an answer must be there.
+    pub patience_ms: u64,
 }
 
 /// A connection that carries a request. Dropped before its answer is complete, it closes.
@@ -47,6 +58,8 @@
     key: EndpointKey,
     link: Option<HttpLink>,
     idle_ms: u64,
+    /// Idle connections to the endpoint that are kept.
+    most_idle: usize,
 }
 
 impl Lease {
@@ -54,7 +67,7 @@
     pub(crate) fn finish(mut self) {
         if let Some(link) = self.link.take() {
             let mut pool = self.edge.pool.borrow_mut();
-            pool.put(now_ms(), self.key, link, self.idle_ms);
+            pool.put(now_ms(), self.key, link, self.idle_ms, self.most_idle);
         }
     }
 
@@ -87,7 +100,7 @@
     pick: &Pick,
     outgoing: &Outgoing,
     last_event_id: Option<u64>,
-    time_left_ms: u64,
+    times: SendTimes,
 ) -> Result<Answered, Outcome> {
     edge.balancer.borrow_mut().begin(pick.key);
     let mut lease = Lease {
@@ -95,13 +108,26 @@
         key: pick.key,
         link: None,
         idle_ms: 0,
+        most_idle: outgoing.most_idle,
     };
     let began_ms = now_ms();
-    let timeout = Duration::from_millis(time_left_ms);
+    let timeout = Duration::from_millis(times.patience_ms);
     let sent = tokio::time::timeout(timeout, async {
-        let mut link = connection(edge, pick).await?;
-        let request =
-            request(edge, pick, outgoing, last_event_id, began_ms, time_left_ms);
+        let left_ms = || times.left_ms.saturating_sub(now_ms() - began_ms);
+        let idle = edge.pool.borrow_mut().take(now_ms(), pick.key);
+        if let Some(mut link) = idle {
+            let request = request(edge, pick, outgoing, last_event_id, left_ms());
+            let response = link.send(request).await;
+            // The endpoint may have closed the connection while it was idle.
+            if !matches!(response, Err(SendError::NotSent(_))) {
+                lease.link = Some(link);
+                return response;
+            }
+        }
+        let mut link = HttpLink::connect(pick.address, CONNECT_TIMEOUT_MS)
+            .await
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let request = request(edge, pick, outgoing, last_event_id, left_ms());
         let response = link.send(request).await;
         lease.link = Some(link);
         response
@@ -144,7 +170,7 @@
                 log::info!("event=endpoint_reachable endpoint={}", pick.id);
                 edge.pool
                     .borrow_mut()
-                    .put(now_ms(), pick.key, link, FRESH_IDLE_MS);
+                    .put(now_ms(), pick.key, link, FRESH_IDLE_MS, 1);
                 edge.balancer.borrow_mut().resume(pick.key);
                 return;
             }
@@ -152,29 +178,17 @@
     });
 }
 
-async fn connection(edge: &Rc<Edge>, pick: &Pick) -> Result<HttpLink, SendError> {
-    let idle = edge.pool.borrow_mut().take(now_ms(), pick.key);
-    match idle {
-        Some(link) => Ok(link),
-        None => HttpLink::connect(pick.address, CONNECT_TIMEOUT_MS)
-            .await
-            .map_err(|error| SendError::NotSent(error.to_string())),
-    }
-}
-
 fn request(
     edge: &Edge,
     pick: &Pick,
     outgoing: &Outgoing,
     last_event_id: Option<u64>,
-    began_ms: u64,
     time_left_ms: u64,
 ) -> Request<Full<Bytes>> {
-    let connected_ms = now_ms().saturating_sub(began_ms);
     let added = EndpointHeaders {
         endpoint_id: &pick.id,
         customer: outgoing.customer.as_deref(),
-        time_left_ms: time_left_ms.saturating_sub(connected_ms),
+        time_left_ms,
         priority: outgoing.priority,
         last_event_id,
     };
--- a/crates/gateway/src/edge/listen.rs
+++ b/crates/gateway/src/edge/listen.rs
@@ -20,7 +20,7 @@
 use crate::clock::now_ms;
 use crate::directory::MetadataStore;
 use crate::edge::{Edge, call, sync};
-use crate::http_link::watch_silence;
+use crate::http_link::watch_caller;
 use crate::protocol::CallProtocol;
 use crate::settings::NodeSettings;
 
@@ -122,7 +122,7 @@
 pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => match watch_silence(&stream) {
+            Ok((stream, _)) => match watch_caller(&stream) {
                 Ok(()) => return stream,
                 Err(error) => log::warn!("event=socket_option_failed reason={error}"),
             },
--- a/crates/gateway/src/edge/pool.rs
+++ b/crates/gateway/src/edge/pool.rs
@@ -45,9 +45,14 @@
         key: EndpointKey,
         link: HttpLink,
         idle_ms: u64,
+        most_idle: usize,
     ) {
         let usable_until_ms = now_ms + idle_ms.saturating_sub(IDLE_MARGIN_MS);
         let idle = self.idle.entry(key).or_default();
+        if idle.len() >= most_idle {
+            link.close();
+            return;
+        }
         idle.push(Idle {
             link,
             usable_until_ms,
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -109,16 +109,10 @@
                 pick_endpoint(&self.edge, &self.admitted, &self.attempt, &self.tried)?;
             self.tried.push(pick.id.clone());
             let sent_ms = now_ms();
-            let time_left_ms = self.admitted.time_left_ms();
+            let times = self.admitted.send_times(&self.attempt);
             let outgoing = &self.admitted.outgoing;
-            let answered = send(
-                &self.edge,
-                &pick,
-                outgoing,
-                self.last_event_id,
-                time_left_ms,
-            )
-            .await;
+            let answered =
+                send(&self.edge, &pick, outgoing, self.last_event_id, times).await;
             let outcome = match answered {
                 Ok(answered) => {
                     let elapsed_ms = now_ms() - sent_ms;
@@ -302,7 +296,8 @@
     );
 }
 
-/// Queues events for the caller. False if the caller has left.
+/// Queues events for the caller. False if the caller has left, or has not read for the rest
+/// of its time.
 async fn forward(
     call: &mut StreamCall,
     events: Vec<StreamEvent>,
@@ -310,7 +305,9 @@
 ) -> bool {
     for event in events {
         call.record(&event);
-        if sender.send(Piece::Content(event.raw)).await.is_err() {
+        let time_left = Duration::from_millis(call.admitted.time_left_ms());
+        let sending = sender.send_timeout(Piece::Content(event.raw), time_left);
+        if sending.await.is_err() {
             return false;
         }
     }
--- a/crates/gateway/src/http_link.rs
+++ b/crates/gateway/src/http_link.rs
@@ -29,6 +29,9 @@
 /// matter here, since its machine confirms for it.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// The same for callers, who may read slowly: as long as they wait for an answer at most.
+const CALLER_UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A connection. Dropping it closes the socket at once.
 #[derive(Debug)]
 pub struct HttpLink {
@@ -110,16 +113,20 @@
     let stream = tokio::time::timeout(timeout, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    watch_silence(&stream)?;
+    watch_silence(&stream, UNCONFIRMED_TIMEOUT)?;
     Ok(stream)
 }
 
-/// Sets the options by which a silent connection ends.
+/// Sets the options by which the silent connection of a caller ends.
 ///
 /// # Errors
 ///
 /// If the socket does not take them.
-pub fn watch_silence(stream: &TcpStream) -> io::Result<()> {
+pub fn watch_caller(stream: &TcpStream) -> io::Result<()> {
+    watch_silence(stream, CALLER_UNCONFIRMED_TIMEOUT)
+}
+
+fn watch_silence(stream: &TcpStream, unconfirmed: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
@@ -127,5 +134,5 @@
         .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNCONFIRMED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unconfirmed))
 }
--- a/crates/gateway/src/retry.rs
+++ b/crates/gateway/src/retry.rs
@@ -6,6 +6,14 @@
 /// limited: after this many, other callers' requests tell which endpoints are there.
 const MOST_UNSENT: u32 = 3;
 
+/// A send that may be repeated is given up after this many times the route's target, if
+/// another endpoint is left to try: workers lose answers and hang, and say nothing then.
+const PATIENCE_TARGETS: u64 = 4;
+
+/// Shortest time after which a send is given up, in milliseconds, so that a short queue does
+/// not look like a lost answer.
+const LEAST_PATIENCE_MS: u64 = 300;
+
 /// What became of one send.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -55,6 +63,23 @@
 }
 
 impl Attempt {
+    /// How long to wait for the head of an answer, in milliseconds.
+    pub fn patience_ms(
+        &self,
+        policy: RetryPolicy,
+        target_ms: u64,
+        time_left_ms: u64,
+    ) -> u64 {
+        let is_last = self.sent + 1 >= policy.max_attempts;
+        match is_last || !policy.kind.may_run_again() {
+            true => time_left_ms,
+            false => {
+                let patience_ms = PATIENCE_TARGETS * target_ms;
+                patience_ms.max(LEAST_PATIENCE_MS).min(time_left_ms)
+            }
+        }
+    }
+
     /// Records an outcome and decides the next step.
     pub fn next(&mut self, policy: RetryPolicy, outcome: Outcome) -> Step {
         match outcome {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,12 +35,8 @@
 /// What the process may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ProcessLimits {
-    /// Memory, in megabytes.
-    pub memory_mb: u64,
     /// Disk, in megabytes. 0 without a disk.
     pub disk_mb: u64,
-    /// Open sockets and files.
-    pub max_fds: u64,
 }
 
 /// Times that were agreed with operators and callers.
@@ -52,6 +48,4 @@
     pub revocation_ms: u64,
     /// A planned stop is over after this time.
     pub stop_ms: u64,
-    /// Leaving endpoints get no new work after this time.
-    pub drain_ms: u64,
 }
--- a/crates/gateway/tests/retry.rs
+++ b/crates/gateway/tests/retry.rs
@@ -3,13 +3,9 @@
 use jayreel_gateway::{Attempt, CallKind, Outcome, RetryPolicy, Step};
 use test_case::test_case;
 
-const RESUMABLE: CallKind = CallKind::Stream {
-    is_resumable: true,
-    pause_target_ms: 150,
-};
+const RESUMABLE: CallKind = CallKind::Stream { is_resumable: true };
 const STREAM: CallKind = CallKind::Stream {
     is_resumable: false,
-    pause_target_ms: 150,
 };
 
 fn first(kind: CallKind, max_attempts: u32, outcome: Outcome) -> Step {
@@ -68,6 +64,30 @@
     }
 }
 
+/// A worker loses an answer or hangs. A request that may run again goes to another in time;
+/// one that may not waits, since its worker may still be at work.
+#[test]
+fn silent_endpoint_is_given_up_only_if_another_may_be_tried() {
+    let patience = |kind, sent| {
+        let policy = RetryPolicy {
+            kind,
+            max_attempts: 2,
+        };
+        let attempt = Attempt {
+            sent,
+            ..Attempt::default()
+        };
+        attempt.patience_ms(policy, 80, 1_200)
+    };
+    assert!(
+        patience(CallKind::Idempotent, 0) <= 400,
+        "a third of the time"
+    );
+    assert_eq!(patience(CallKind::Idempotent, 1), 1_200);
+    assert_eq!(patience(CallKind::Once, 0), 1_200);
+    assert_eq!(patience(STREAM, 0), 1_200);
+}
+
 /// A request that may run once is not sent again after a send that may have run, whatever
 /// came before.
 #[test]
