ledger: rates over the agreed window for programs that have begun; grants are on disk

New programs still need the rate. Grants are logged, so that a member that was killed knows what it granted; one whose disk was lost, or that joins, grants nothing until the window has passed.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,8 @@
     pub configuration_ms: u64,
     /// A request that was sent this long after its key was withdrawn does not run.
     pub revocation_ms: u64,
+    /// Customers' rates hold over any span of this length.
+    pub quota_window_ms: u64,
     /// A planned stop is over after this time.
     pub stop_ms: u64,
 }
--- a/crates/gateway/src/storage/disk.rs
+++ b/crates/gateway/src/storage/disk.rs
@@ -34,8 +34,14 @@
 }
 
 enum Job {
-    Append { number: u64, frames: Vec<u8> },
-    Replace { frames: Vec<u8> },
+    Append {
+        number: u64,
+        is_synced: bool,
+        frames: Vec<u8>,
+    },
+    Replace {
+        frames: Vec<u8>,
+    },
 }
 
 /// The writing end of the log.
@@ -93,9 +99,14 @@
         Ok((Disk { jobs }, facts, receiver))
     }
 
-    /// Queues frames. Their number is told once they are on disk.
-    pub fn append(&self, number: u64, frames: Vec<u8>) {
-        self.queue(Job::Append { number, frames });
+    /// Queues frames. Their number, or a later one, is told once they are on disk; that may
+    /// take until the next append that is to be synced.
+    pub fn append(&self, number: u64, is_synced: bool, frames: Vec<u8>) {
+        self.queue(Job::Append {
+            number,
+            is_synced,
+            frames,
+        });
     }
 
     /// Replaces the whole log by these frames.
@@ -125,38 +136,53 @@
         jobs: &blocking::Receiver<Job>,
         synced: &mpsc::UnboundedSender<u64>,
     ) {
+        let mut through = 0;
         while let Ok(first) = jobs.recv() {
             let mut buffer = Vec::new();
-            let mut through = None;
+            let mut must_sync = false;
             let mut replacement = None;
             for job in std::iter::once(first).chain(jobs.try_iter()) {
                 match job {
-                    Job::Append { number, frames } => {
+                    Job::Append {
+                        number,
+                        is_synced,
+                        frames,
+                    } => {
                         buffer.extend_from_slice(&frames);
-                        through = Some(number);
+                        through = number;
+                        must_sync |= is_synced;
                     }
                     Job::Replace { frames } => {
                         buffer.clear();
                         replacement = Some(frames);
+                        must_sync = true;
                     }
                 }
             }
-            if let Err(error) = self.write(replacement, &buffer) {
+            if let Err(error) = self.write(replacement, &buffer, must_sync) {
                 log::error!("event=disk_failed reason={error}");
                 return;
             }
-            if through.is_some_and(|number| synced.send(number).is_err()) {
+            if must_sync && synced.send(through).is_err() {
                 return;
             }
         }
     }
 
-    fn write(&mut self, replacement: Option<Vec<u8>>, frames: &[u8]) -> io::Result<()> {
+    fn write(
+        &mut self,
+        replacement: Option<Vec<u8>>,
+        frames: &[u8],
+        must_sync: bool,
+    ) -> io::Result<()> {
         if let Some(replacement) = replacement {
             self.replace(&replacement)?;
         }
         self.file.write_all(frames)?;
-        self.file.sync_data()
+        match must_sync {
+            true => self.file.sync_data(),
+            false => Ok(()),
+        }
     }
 
     /// Starts a new file with these frames and removes the others once it is on disk.
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -72,10 +72,13 @@
 /// What the instance wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Write frames to the disk and sync them.
+    /// Write frames to the disk.
     Append {
         /// Number of the append.
         number: u64,
+        /// Whether they must be synced now. Others are synced with the next that must, so a
+        /// kill does not lose them, but a loss of power may.
+        is_synced: bool,
         /// The frames.
         frames: Vec<u8>,
     },
@@ -108,11 +111,17 @@
     group: Group,
     standing: Standing,
     rates: RateShare,
+    started_ms: u64,
+    /// Until this time rates are divided by more than the present number of members: one
+    /// that left may have granted its part in the window.
+    larger_parts: Option<(u64, usize)>,
     freshness: Freshness,
     configuration: Bytes,
     /// Store revision of `configuration`. 0 without one.
     configuration_revision: u64,
     appended: u64,
+    /// Number of the last append that must be synced. At most `appended`.
+    must_sync: u64,
     /// Number of the last append that is on disk. At most `appended`.
     synced: u64,
     /// Replies that wait until an append is on disk, in the order of the appends.
@@ -121,22 +130,41 @@
 
 impl Node {
     /// An instance with the facts from its disk.
-    pub fn new(name: &str, is_first_start: bool, now_ms: u64, facts: &[Fact]) -> Node {
+    ///
+    /// `quota_window_ms` is the window in which customers' rates are agreed.
+    pub fn new(
+        name: &str,
+        is_first_start: bool,
+        now_ms: u64,
+        quota_window_ms: u64,
+        facts: &[Fact],
+    ) -> Node {
         let mut book = Book::default();
         for fact in facts {
             book.merge(now_ms, fact);
         }
+        book.restart(now_ms);
+        let mut rates = RateShare::new(now_ms, quota_window_ms);
+        for (at_ms, customer, count) in book.grants() {
+            rates.restore(at_ms, customer, count);
+        }
+        if facts.is_empty() && !is_first_start {
+            rates.block_since(now_ms);
+        }
         Node {
             name: name.to_string(),
             is_first_start: is_first_start && facts.is_empty(),
             book,
             group: Group::default(),
             standing: Standing::Spare,
-            rates: RateShare::default(),
+            rates,
+            started_ms: now_ms,
+            larger_parts: None,
             freshness: Freshness::default(),
             configuration: Bytes::new(),
             configuration_revision: 0,
             appended: 0,
+            must_sync: 0,
             synced: 0,
             unsynced: VecDeque::new(),
         }
@@ -247,7 +275,8 @@
                 self.merge_and_reply(now_ms, &[fact], to, reply(Answer::Done))
             }
             Ask::KeepFacts(facts) => {
-                let facts: Vec<Fact> = facts.into_iter().filter(is_copied).collect();
+                let facts: Vec<Fact> =
+                    facts.into_iter().filter(Fact::is_shared).collect();
                 self.merge_and_reply(now_ms, &facts, to, reply(Answer::Done))
             }
             Ask::Adopt(group) => {
@@ -258,6 +287,23 @@
                 });
                 effects
             }
+            Ask::TakeQuota {
+                configuration_version,
+                wants,
+            } if self.is_voting() => {
+                let (answer, facts) = self.grant(now_ms, configuration_version, &wants);
+                for fact in &facts {
+                    self.book.merge(now_ms, fact);
+                }
+                let mut effects = vec![Effect::Reply {
+                    connection: to,
+                    reply: reply(answer),
+                }];
+                if !facts.is_empty() {
+                    effects.extend(self.append(&facts));
+                }
+                effects
+            }
             ask => vec![Effect::Reply {
                 connection: to,
                 reply: reply(self.look_up(now_ms, ask)),
@@ -301,10 +347,6 @@
                     false => Answer::Chain(chain.turns),
                 }
             }
-            Ask::TakeQuota {
-                configuration_version,
-                wants,
-            } if self.is_voting() => self.grant(now_ms, configuration_version, &wants),
             Ask::CopyPart { cursor } => {
                 let (facts, next) = self.part(cursor);
                 Answer::Part {
@@ -330,15 +372,34 @@
         version.is_some_and(|version| version + 1 >= self.group.version)
     }
 
-    fn grant(&mut self, now_ms: u64, version: u64, wants: &[QuotaWant]) -> Answer {
-        let parts = self.group.members.len();
-        let granted = wants.iter().map(|want| {
+    fn grant(
+        &mut self,
+        now_ms: u64,
+        version: u64,
+        wants: &[QuotaWant],
+    ) -> (Answer, Vec<Fact>) {
+        let parts = match self.larger_parts {
+            Some((until_ms, parts)) if now_ms < until_ms => parts,
+            _ => self.group.members.len(),
+        };
+        let mut granted = Vec::new();
+        let mut facts = Vec::new();
+        for want in wants {
             let customer = &want.customer;
             self.rates.learn(now_ms, version, customer, want.limit);
-            self.rates
-                .take(now_ms, customer, want.requests, parts, want.quota_use)
-        });
-        Answer::Quota(granted.collect())
+            let count =
+                self.rates
+                    .take(now_ms, customer, want.requests, parts, want.quota_use);
+            granted.push(count);
+            if count > 0 {
+                facts.push(Fact::Granted {
+                    at_ms: now_ms,
+                    customer: customer.clone(),
+                    count,
+                });
+            }
+        }
+        (Answer::Quota(granted), facts)
     }
 
     fn share_configuration(&self, now_ms: u64, known_revision: u64) -> Answer {
@@ -381,7 +442,7 @@
         if is_new {
             effects.extend(self.append(facts));
         }
-        self.unsynced.push_back((self.appended, to, reply));
+        self.unsynced.push_back((self.must_sync, to, reply));
         effects.extend(self.release(self.synced));
         effects
     }
@@ -394,9 +455,17 @@
                 return None;
             }
         }
+        // A loss of power costs more than the grants of the last few milliseconds.
+        let is_synced = !facts
+            .iter()
+            .all(|fact| matches!(fact, Fact::Granted { .. }));
         self.appended += 1;
+        if is_synced {
+            self.must_sync = self.appended;
+        }
         Some(Effect::Append {
             number: self.appended,
+            is_synced,
             frames,
         })
     }
@@ -417,10 +486,14 @@
         effects
     }
 
-    fn learn_group(&mut self, _now_ms: u64, group: Group) -> Vec<Effect> {
+    fn learn_group(&mut self, now_ms: u64, group: Group) -> Vec<Effect> {
         if group.version <= self.group.version {
             return Vec::new();
         }
+        if group.members.len() < self.group.members.len() {
+            let until_ms = now_ms + self.rates.window_ms();
+            self.larger_parts = Some((until_ms, self.group.members.len()));
+        }
         let standing = self.standing_in(&group);
         log::info!(
             "event=group_learned version={} members={} standing={standing:?}",
@@ -429,7 +502,7 @@
         );
         self.group = group;
         self.standing = standing;
-        self.complete_if_done()
+        self.complete_if_done(now_ms)
     }
 
     /// A member that was complete in the version before stays complete: what others wrote
@@ -453,7 +526,7 @@
         facts: &[Fact],
         is_last: bool,
     ) -> Vec<Effect> {
-        let copied = facts.iter().filter(|fact| is_copied(fact));
+        let copied = facts.iter().filter(|fact| fact.is_shared());
         let news: Vec<Fact> = copied
             .filter(|fact| self.book.merge(now_ms, fact))
             .cloned()
@@ -465,15 +538,22 @@
         if let (Standing::CatchingUp(progress), true) = (&mut self.standing, is_last) {
             progress.record(source);
         }
-        effects.extend(self.complete_if_done());
+        effects.extend(self.complete_if_done(now_ms));
         effects
     }
 
     /// Starts to vote once nothing is missing, and notes that on disk.
-    fn complete_if_done(&mut self) -> Vec<Effect> {
+    ///
+    /// A member that took the place of another grants nothing until what that one may have
+    /// granted has left the window.
+    fn complete_if_done(&mut self, now_ms: u64) -> Vec<Effect> {
         if matches!(&self.standing, Standing::CatchingUp(progress) if progress.is_complete())
         {
             self.standing = Standing::Voting;
+            let mut previous = self.group.previous.iter();
+            let was_member = previous.any(|member| member.name == self.name);
+            let since_ms = if was_member { self.started_ms } else { now_ms };
+            self.rates.block_since(since_ms);
         }
         let group_version = self.group.version;
         let fact = Fact::Complete { group_version };
@@ -481,7 +561,7 @@
             return Vec::new();
         }
         log::info!("event=voting group_version={group_version}");
-        self.book.merge(0, &fact);
+        self.book.merge(now_ms, &fact);
         self.append(&[fact]).into_iter().collect()
     }
 
@@ -507,8 +587,3 @@
         }
     }
 }
-
-/// Marks of completeness hold only for the log that they stand in.
-fn is_copied(fact: &Fact) -> bool {
-    !matches!(fact, Fact::Complete { .. })
-}
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -49,7 +49,13 @@
     let folder = settings.data_dir.clone();
     let folder = folder.ok_or_eyre("the settings name no data folder")?;
     let (disk, facts, synced) = Disk::open(&folder)?;
-    let node = Node::new(&settings.name, settings.is_first_start, now_ms(), &facts);
+    let node = Node::new(
+        &settings.name,
+        settings.is_first_start,
+        now_ms(),
+        settings.bounds.quota_window_ms,
+        &facts,
+    );
     log::info!(
         "event=started role=storage name={} facts={}",
         settings.name,
@@ -142,10 +148,14 @@
         let effects = self.node.borrow_mut().apply(now_ms(), event);
         for effect in effects {
             match effect {
-                Effect::Append { number, frames } => {
+                Effect::Append {
+                    number,
+                    is_synced,
+                    frames,
+                } => {
                     let bytes = u64::try_from(frames.len()).unwrap_or(u64::MAX);
                     self.logged_bytes.set(self.logged_bytes.get() + bytes);
-                    self.disk.append(number, frames);
+                    self.disk.append(number, is_synced, frames);
                 }
                 Effect::Reply { connection, reply } => {
                     let connections = self.connections.borrow();
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -1,6 +1,6 @@
 //! All facts that one instance holds, indexed for readers.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::fact::{
     ChargeView, Fact, ProgramKey, Reservation, Settlement, TurnRecord, turn_digest,
@@ -11,6 +11,10 @@
 /// minutes.
 const CHARGES_KEEP_MS: u64 = 600_000;
 
+/// How long grants of customers' rates are remembered, in milliseconds: longer than any
+/// window in which rates are agreed.
+const GRANTS_KEEP_MS: u64 = 30_000;
+
 #[derive(Debug)]
 struct Charge {
     tokens: u32,
@@ -49,6 +53,8 @@
     next_sequence: u64,
     /// Newest version of the group for which the facts were complete.
     complete_version: Option<u64>,
+    /// Time, customer and number of own grants, oldest first.
+    grants: VecDeque<(u64, String, u32)>,
 }
 
 impl Book {
@@ -58,6 +64,15 @@
             Fact::Reserved(reservation) => self.reserve(now_ms, reservation),
             Fact::Settled(settlement) => self.settle(now_ms, settlement),
             Fact::Turn(record) => self.add_turn(now_ms, record),
+            Fact::Granted {
+                at_ms,
+                customer,
+                count,
+            } => {
+                self.grants.push_back((*at_ms, customer.clone(), *count));
+                self.forget_grants(*at_ms);
+                true
+            }
             Fact::Complete { group_version } => {
                 let is_new = self.complete_version < Some(*group_version);
                 self.complete_version = self.complete_version.max(Some(*group_version));
@@ -66,6 +81,35 @@
         }
     }
 
+    /// Own grants of customers' rates, by the clock since the last start.
+    pub fn grants(&self) -> impl Iterator<Item = (u64, &str, u32)> {
+        let grants = self.grants.iter();
+        grants.map(|(at_ms, customer, count)| (*at_ms, customer.as_str(), *count))
+    }
+
+    fn forget_grants(&mut self, now_ms: u64) {
+        let is_old = |at_ms: u64| at_ms + GRANTS_KEEP_MS < now_ms;
+        while self
+            .grants
+            .front()
+            .is_some_and(|(at_ms, ..)| is_old(*at_ms))
+        {
+            self.grants.pop_front();
+        }
+    }
+
+    /// The owner of the book starts. How long it was away is not known, and its clock may have
+    /// begun anew, so its last grant counts as if it had been at the start.
+    pub fn restart(&mut self, started_ms: u64) {
+        let Some(last_ms) = self.grants.back().map(|(at_ms, ..)| *at_ms) else {
+            return;
+        };
+        for (at_ms, ..) in &mut self.grants {
+            let age_ms = last_ms.saturating_sub(*at_ms);
+            *at_ms = started_ms.saturating_sub(age_ms);
+        }
+    }
+
     /// Newest version of the group for which the facts were complete.
     pub fn complete_version(&self) -> Option<u64> {
         self.complete_version
@@ -203,7 +247,13 @@
         let complete = self.complete_version.into_iter();
         let complete = complete.map(|group_version| Fact::Complete { group_version });
         let mut facts = self.budget_facts();
+        let grants = self.grants().map(|(at_ms, customer, count)| Fact::Granted {
+            at_ms,
+            customer: customer.to_string(),
+            count,
+        });
         facts.extend(turns);
+        facts.extend(grants);
         facts.extend(complete);
         facts
     }
--- a/crates/ledger/src/fact.rs
+++ b/crates/ledger/src/fact.rs
@@ -60,6 +60,15 @@
     Settled(Settlement),
     /// A turn has ended whole.
     Turn(TurnRecord),
+    /// The owner of the log granted requests of a customer's rate.
+    Granted {
+        /// Time of the owner's clock, in milliseconds.
+        at_ms: u64,
+        /// Name of the customer.
+        customer: String,
+        /// Number of requests.
+        count: u32,
+    },
     /// The owner of the log held every fact of its group as of this version.
     Complete {
         /// Version of the group.
@@ -78,6 +87,13 @@
     pub is_settled: bool,
 }
 
+impl Fact {
+    /// Whether the fact holds for all instances, and not only for the owner of its log.
+    pub fn is_shared(&self) -> bool {
+        matches!(self, Fact::Reserved(_) | Fact::Settled(_) | Fact::Turn(_))
+    }
+}
+
 /// A short digest of a turn's identifier, the same at every instance.
 pub fn turn_digest(turn: &str) -> u64 {
     let hash = blake3::hash(turn.as_bytes());
--- a/crates/ledger/src/rate.rs
+++ b/crates/ledger/src/rate.rs
@@ -2,10 +2,14 @@
 //!
 //! Each member owns an equal part of each customer's rate and burst and answers for it
 //! alone, so the sum over the group never exceeds the limit, whoever is reachable. Instances
-//! take tokens where they need them. A member that starts begins with an almost empty bucket:
-//! what it handed out before is unknown.
+//! take tokens where they need them.
+//!
+//! The limit is agreed over a window: so many requests a second in it, and a burst. Programs
+//! send unevenly, so a request of a program that has begun is granted as long as the window
+//! has room. New programs are granted by a token bucket, which all grants drain, so that a
+//! customer above its limit begins as many programs as it can finish.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -18,14 +22,10 @@
     pub burst: f64,
 }
 
-/// Smallest capacity of a bucket, in requests: without one whole token none is ever given.
-const LEAST_CAPACITY: f64 = 1.0;
-
 /// What tokens are taken for.
 ///
 /// Answers the pattern of a customer that sends several times its limit in programs of many
 /// requests: if each request has the same chance, most programs begin and hardly any ends.
-/// The last part of a bucket is kept for programs that have begun.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum QuotaUse {
     /// A request of a program that has begun.
@@ -37,40 +37,88 @@
 }
 
 impl QuotaUse {
-    /// Part of a bucket that is kept for more urgent uses.
-    fn kept_part(self) -> f64 {
+    /// Part of the bucket that must stay, so that programs which have begun go on. None if
+    /// only the window counts.
+    fn kept_part(self) -> Option<f64> {
         match self {
-            QuotaUse::GoOn => 0.0,
-            QuotaUse::Begin => 0.7,
-            QuotaUse::Advance => 0.8,
+            QuotaUse::GoOn => None,
+            QuotaUse::Begin => Some(0.5),
+            QuotaUse::Advance => Some(0.7),
         }
     }
 }
 
-/// A member that starts has this many tokens of each customer. All members together stay
-/// within the agreed slack of 20 requests, also if they start twice in one window.
-const FIRST_TOKENS: f64 = 3.0;
+/// Smallest capacity of a bucket, in requests: without one whole token none is ever given.
+const LEAST_CAPACITY: f64 = 1.0;
 
 /// Nothing is kept for programs that have begun in this time after a start, in milliseconds:
 /// there are none, or all of them begin anew.
 const NO_KEEPING_MS: u64 = 3_000;
 
 #[derive(Debug)]
-struct Bucket {
+struct Account {
+    /// Falls below 0 while programs that have begun use the window's room.
     tokens: f64,
-    created_ms: u64,
     updated_ms: u64,
+    /// Time and number of grants in the window, oldest first.
+    granted: VecDeque<(u64, u32)>,
 }
 
-/// The buckets of one member.
-#[derive(Debug, Default)]
+impl Account {
+    fn in_window(&mut self, now_ms: u64, window_ms: u64) -> u32 {
+        while self
+            .granted
+            .front()
+            .is_some_and(|(at_ms, _)| at_ms + window_ms <= now_ms)
+        {
+            self.granted.pop_front();
+        }
+        self.granted.iter().map(|(_, count)| count).sum()
+    }
+}
+
+/// The parts of all customers' rates that one member hands out.
+#[derive(Debug)]
 pub struct RateShare {
-    buckets: HashMap<String, Bucket>,
+    window_ms: u64,
+    started_ms: u64,
+    /// Nothing is granted before: what was granted in the window is not known.
+    blocked_until_ms: u64,
+    accounts: HashMap<String, Account>,
     limits: HashMap<String, RateLimit>,
     configuration_version: u64,
 }
 
 impl RateShare {
+    /// The share of a member that starts. Limits hold over any `window_ms`.
+    pub fn new(now_ms: u64, window_ms: u64) -> RateShare {
+        RateShare {
+            window_ms,
+            started_ms: now_ms,
+            blocked_until_ms: 0,
+            accounts: HashMap::new(),
+            limits: HashMap::new(),
+            configuration_version: 0,
+        }
+    }
+
+    /// The window in which limits hold, in milliseconds.
+    pub fn window_ms(&self) -> u64 {
+        self.window_ms
+    }
+
+    /// Grants nothing until all grants before `since_ms` have left the window.
+    pub fn block_since(&mut self, since_ms: u64) {
+        let until_ms = since_ms + self.window_ms;
+        self.blocked_until_ms = self.blocked_until_ms.max(until_ms);
+    }
+
+    /// A grant from before the start still counts in the window.
+    pub fn restore(&mut self, at_ms: u64, customer: &str, count: u32) {
+        let account = self.account(at_ms, customer);
+        account.granted.push_back((at_ms, count));
+    }
+
     /// Learns a limit, from which on tokens accrue. Limits of older configurations than the
     /// newest seen are ignored.
     pub fn learn(&mut self, now_ms: u64, version: u64, customer: &str, limit: RateLimit) {
@@ -79,19 +127,21 @@
         }
         self.configuration_version = version;
         self.limits.insert(customer.to_string(), limit);
-        self.bucket(now_ms, customer);
+        self.account(now_ms, customer);
     }
 
-    fn bucket(&mut self, now_ms: u64, customer: &str) -> &mut Bucket {
-        self.buckets.entry(customer.to_string()).or_insert(Bucket {
-            tokens: FIRST_TOKENS,
-            created_ms: now_ms,
-            updated_ms: now_ms,
-        })
+    fn account(&mut self, now_ms: u64, customer: &str) -> &mut Account {
+        self.accounts
+            .entry(customer.to_string())
+            .or_insert_with(|| Account {
+                tokens: LEAST_CAPACITY,
+                updated_ms: now_ms,
+                granted: VecDeque::new(),
+            })
     }
 
-    /// Takes up to `requests` whole tokens of a customer. `parts` is the number of members
-    /// that share the limit.
+    /// Takes up to `requests` tokens of a customer. `parts` is the number of members that
+    /// share the limit.
     pub fn take(
         &mut self,
         now_ms: u64,
@@ -103,21 +153,34 @@
         let Some(limit) = self.limits.get(customer).copied() else {
             return 0;
         };
+        if now_ms < self.blocked_until_ms {
+            return 0;
+        }
         let parts = parts.max(1) as f64;
+        let window_ms = self.window_ms;
+        let keeps = now_ms >= self.started_ms + NO_KEEPING_MS;
         let rate_per_ms = limit.rate_per_s / 1_000.0 / parts;
         let capacity = (limit.burst / parts).max(LEAST_CAPACITY);
-        let bucket = self.bucket(now_ms, customer);
-        let elapsed_ms = now_ms.saturating_sub(bucket.updated_ms) as f64;
-        bucket.tokens = (bucket.tokens + elapsed_ms * rate_per_ms).min(capacity);
-        bucket.updated_ms = now_ms;
-        // A full bucket gives one token whatever it is for.
-        let kept = match now_ms < bucket.created_ms + NO_KEEPING_MS {
-            true => 0.0,
-            false => (quota_use.kept_part() * capacity).min(capacity - 1.0),
+        let in_window = rate_per_ms * window_ms as f64;
+        let account = self.account(now_ms, customer);
+        let elapsed_ms = now_ms.saturating_sub(account.updated_ms) as f64;
+        account.tokens = (account.tokens + elapsed_ms * rate_per_ms).min(capacity);
+        account.updated_ms = account.updated_ms.max(now_ms);
+        let used = f64::from(account.in_window(now_ms, window_ms));
+        // Rounded up, which the agreed slack covers: small customers would lose most of it.
+        let room = (in_window + limit.burst / parts).ceil() - used;
+        let free = match quota_use.kept_part().filter(|_| keeps) {
+            // A full bucket gives one token whatever it is for.
+            Some(part) => account.tokens - (part * capacity).min(capacity - 1.0),
+            None if quota_use == QuotaUse::GoOn => room,
+            None => account.tokens,
         };
-        let free = (bucket.tokens - kept).max(0.0);
-        let granted = free.floor().min(f64::from(requests));
-        bucket.tokens -= granted;
-        granted as u32
+        let granted = free.min(room).max(0.0).floor().min(f64::from(requests));
+        account.tokens = (account.tokens - granted).max(-in_window);
+        let granted = granted as u32;
+        if granted > 0 {
+            account.granted.push_back((now_ms, granted));
+        }
+        granted
     }
 }
