gateway: take the configuration from members; take changes of endpoints together

Each entry instance read the configuration from the store. Members now read it every 0.7 s for all, and tell its age; the store is read while the nearest member has no fresh one.

--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -408,7 +408,20 @@
         }
     }
 
-    /// The configuration and its freshness from any member.
+    /// The configuration and its freshness from the nearest member.
+    pub(crate) async fn nearest_configuration(
+        &self,
+        known_revision: u64,
+    ) -> Option<Freshness> {
+        let member = self.in_order("configuration").into_iter().next()?;
+        let ask = Ask::Configuration { known_revision };
+        match self.ask(&member, ask, QUICK_TIMEOUT_MS).await {
+            Ok(Answer::Configuration(freshness)) => Some(freshness),
+            _ => None,
+        }
+    }
+
+    /// The configuration and its freshness from all members.
     pub(crate) async fn configuration(&self, known_revision: u64) -> Vec<Freshness> {
         let mut found = Vec::new();
         for member in self.in_order("configuration") {
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jayreel_ledger::Group;
+use jayreel_ledger::{Freshness, Group};
 
 use crate::clock::now_ms;
 use crate::directory::{
@@ -14,8 +14,12 @@
 use crate::membership::GROUP_RECORD;
 
 /// Part of the time in which changes must be in force after which the configuration is read
-/// again. A read that fails is repeated well within the rest.
-const READ_PART: f64 = 0.65;
+/// again. With the age that a member's may have, and a read that fails, this is within it.
+const READ_PART: f64 = 0.3;
+
+/// Age up to which a member's configuration is taken, in milliseconds: a little more than the
+/// pause between two reads there.
+const MOST_SHARED_AGE_MS: u64 = 1_000;
 
 /// Pause after a failed read of the store, in milliseconds.
 const FAILED_READ_PAUSE_MS: u64 = 200;
@@ -28,6 +32,10 @@
 /// silent is noticed while there is time to learn of a leaving endpoint.
 const WATCH_MS: u64 = 2_500;
 
+/// Changes that come within this time are taken together, in milliseconds: each watch is a
+/// call, and a leaving endpoint must be known within two seconds.
+const BETWEEN_CHANGES_MS: u64 = 600;
+
 /// After the store is back, entries that are missing may come back for this time, in
 /// milliseconds; those that are still missing then are gone.
 const MISSING_GRACE_MS: u64 = 2_000;
@@ -60,6 +68,8 @@
     tokio::task::spawn_local(sweep(Rc::clone(edge)));
 }
 
+/// Reads the configuration from the nearest member, which reads it from the store for all,
+/// and from the store itself while that member has no fresh one.
 async fn read_configuration(edge: Rc<Edge>) {
     let bound_ms = edge.settings.bounds.configuration_ms as f64;
     let interval_ms = (bound_ms * READ_PART) as u64;
@@ -67,6 +77,12 @@
     loop {
         let began_ms = now_ms();
         let known = edge.configuration_revision.get();
+        let shared = edge.members.nearest_configuration(known).await;
+        if let Some(found) = shared.filter(|found| found.age_ms <= MOST_SHARED_AGE_MS) {
+            edge.take_shared_configuration(began_ms, found);
+            pause(interval_ms).await;
+            continue;
+        }
         match edge.store.configuration(known).await {
             Ok(read) => {
                 edge.take_configuration(began_ms, read);
@@ -100,20 +116,30 @@
     let asked_ms = now_ms();
     let known = edge.configuration_revision.get();
     for found in edge.members.configuration(known).await {
-        let read_began_ms = asked_ms.saturating_sub(found.age_ms);
+        edge.take_shared_configuration(asked_ms, found);
+    }
+}
+
+impl Edge {
+    /// Takes a configuration that a member read. Its age counts from when it was asked for.
+    fn take_shared_configuration(&self, asked_ms: u64, found: Freshness) {
         let content = found.content.and_then(|content| {
-            let decoded = edge.store.decode_configuration(&content);
-            decoded.ok().map(|configuration| (content, configuration))
+            let decoded = self.store.decode_configuration(&content);
+            match decoded {
+                Ok(configuration) => Some((content, configuration)),
+                Err(error) => {
+                    log::warn!("event=configuration_unreadable reason={error:?}");
+                    None
+                }
+            }
         });
         let read = ConfigurationRead {
             revision: found.revision,
             content,
         };
-        edge.take_configuration(read_began_ms, read);
+        self.take_configuration(asked_ms.saturating_sub(found.age_ms), read);
     }
-}
 
-impl Edge {
     /// Takes a configuration that was the newest when its read began. Older ones than the
     /// one in hand are ignored, so that none is ever undone.
     fn take_configuration(&self, read_began_ms: u64, read: ConfigurationRead) {
@@ -189,6 +215,7 @@
             Err(error) => return error,
         };
         revision = changes.revision.max(revision);
+        let has_changes = !changes.changes.is_empty();
         take_changes(edge, changes);
         let gone = edge
             .balancer
@@ -197,6 +224,9 @@
         if !gone.is_empty() {
             log::info!("event=endpoints_gone ids={gone:?}");
         }
+        if has_changes {
+            pause(BETWEEN_CHANGES_MS).await;
+        }
     }
 }
 
--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -14,11 +14,9 @@
 use crate::storage::node::{ConfigurationFacts, Event};
 use crate::storage::serve::Storage;
 
-/// Pause between two reads of the configuration, in milliseconds. Entry instances name the
-/// limits that they know with each question, so this is for those that ask for the
-/// configuration while the store does not answer them: the proof must be fresh enough to
-/// admit requests.
-const CONFIGURATION_INTERVAL_MS: u64 = 2_500;
+/// Pause between two reads of the configuration, in milliseconds. Entry instances take it
+/// from members, so it is a part of the time in which changes must be in force.
+const CONFIGURATION_INTERVAL_MS: u64 = 700;
 
 /// Pause after a failed call of the store, in milliseconds.
 const FAILED_CALL_PAUSE_MS: u64 = 200;
