--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -14,13 +14,13 @@
 use crate::balance::Pick;
 use crate::clock::now_ms;
 use crate::config::{CallKind, Configuration, Customer, Route};
-use crate::edge::Edge;
 use crate::edge::body::CallBody;
 use crate::edge::exchange::{Answered, Outgoing, SendTimes, send};
 use crate::edge::members::{FoundChain, Members};
 use crate::edge::refusal::{Ran, Refusal};
 use crate::edge::stream::{self, BudgetHold, StreamCall};
 use crate::edge::turn_cache::prompt;
+use crate::edge::{CallSummary, Edge};
 use crate::protocol::CallHead;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
 use crate::urgency::engine_priority;
@@ -116,11 +116,11 @@
             return Refusal::denied(StatusCode::BAD_REQUEST, "unreadable").response();
         }
     };
-    let request_id = call.request_id.clone();
+    let about = CallSummary::new(&edge, &call, arrived_ms);
     match admit_and_run(&edge, call, &parts, body, arrived_ms).await {
         Ok(response) => response,
         Err(refusal) => {
-            edge.note_refusal(&request_id, &refusal, now_ms() - arrived_ms);
+            edge.note_refusal(&about, &refusal);
             refusal.response()
         }
     }
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -32,7 +32,7 @@
 use crate::freshness::Freshness;
 use crate::log_queue::LineBudget;
 use crate::metrics::Metrics;
-use crate::protocol::CallProtocol;
+use crate::protocol::{CallHead, CallProtocol};
 use crate::quota_stock::QuotaStock;
 use crate::retry::Outcome;
 use crate::settings::NodeSettings;
@@ -197,15 +197,56 @@
         }
     }
 
-    fn note_refusal(&self, request_id: &str, refusal: &Refusal, elapsed_ms: u64) {
+    /// The request gets an answer of this instance. The line holds what such decisions rest
+    /// on: versions and ages of the configuration and of the contact with the group.
+    fn note_refusal(&self, about: &CallSummary, refusal: &Refusal) {
         self.metrics.refused(refusal.reason);
+        let now_ms = now_ms();
         log::info!(
-            "event=refused request={request_id} status={} reason={} ran_no={} \
-             configuration_age_ms={:?} elapsed_ms={elapsed_ms}",
+            "event=refused request={} program={} customer={} status={} reason={} ran={} \
+             retry_after_ms={:?} configuration_version={} configuration_age_ms={:?} \
+             group_version={} group_silence_ms={:?} elapsed_ms={}",
+            about.request_id,
+            about.program,
+            about.customer,
             refusal.status.as_u16(),
             refusal.reason,
-            refusal.is_promise(),
-            self.freshness.borrow().age_ms(now_ms()),
+            if refusal.is_promise() {
+                "no"
+            } else {
+                "unknown"
+            },
+            refusal.retry_after_ms,
+            self.configuration().version,
+            self.freshness.borrow().age_ms(now_ms),
+            self.members.group().version,
+            self.members.contact().silence_ms(now_ms),
+            now_ms.saturating_sub(about.arrived_ms),
         );
     }
 }
+
+/// What log lines tell of a request.
+struct CallSummary {
+    request_id: String,
+    program: String,
+    customer: String,
+    arrived_ms: u64,
+}
+
+impl CallSummary {
+    fn new(edge: &Edge, call: &CallHead, arrived_ms: u64) -> CallSummary {
+        let configuration = edge.configuration();
+        let key = call.key.as_deref();
+        let customer = key.and_then(|key| configuration.customer_of(key));
+        let program = call.program.as_ref();
+        CallSummary {
+            request_id: call.request_id.clone(),
+            program: program
+                .map_or_else(|| "none".to_string(), |program| program.id.clone()),
+            customer: customer
+                .map_or_else(|| "none".to_string(), |(name, _)| name.to_string()),
+            arrived_ms,
+        }
+    }
+}
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -138,8 +138,11 @@
         self.edge.balancer.borrow_mut().fail(now_ms(), key);
         let step = self.attempt.next(self.admitted.policy(), Outcome::Unknown);
         log::info!(
-            "event=stream_broken request={} reason={reason:?} last_event={:?} step={step:?}",
+            "event=stream_broken request={} program={} endpoint={:?} reason={reason:?} \
+             last_event={:?} step={step:?}",
             self.admitted.call.request_id,
+            self.admitted.program().unwrap_or("none"),
+            self.tried.last(),
             self.last_event_id,
         );
         step == Step::SendAgain
@@ -291,8 +294,10 @@
 
 fn note_gone(call: &StreamCall) {
     log::info!(
-        "event=caller_gone request={}",
-        call.admitted.call.request_id
+        "event=caller_gone request={} last_event={:?} elapsed_ms={}",
+        call.admitted.call.request_id,
+        call.last_event_id,
+        now_ms().saturating_sub(call.admitted.arrived_ms),
     );
 }
 
