--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -8,12 +8,15 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use jayreel_ledger::{Decision, QuotaUse, Reservation, TurnRecord};
-use rand::RngExt;
+use jayreel_ledger::{Decision, Reservation, TurnRecord};
 
 use crate::balance::Pick;
 use crate::clock::now_ms;
-use crate::config::{CallKind, Configuration, Customer, Route};
+use crate::config::{CallKind, Route};
+use crate::edge::admission::{
+    check_endpoints, check_group, choose_service, find_customer, find_route, quota_use,
+    read_body,
+};
 use crate::edge::body::CallBody;
 use crate::edge::exchange::{Answered, Outgoing, SendTimes, send};
 use crate::edge::members::{FoundChain, Members};
@@ -29,20 +32,16 @@
 /// about as long for the shortest requests.
 const LEAST_TIME_MS: u64 = 10;
 
-/// Retry-After while the configuration is missing or too old, in milliseconds: the time
-/// between two reads of it.
-const STALE_RETRY_MS: u64 = 500;
-
 /// Retry-After while the group has no quorum, in milliseconds: its members are asked again
 /// that soon after a failure.
 const NO_QUORUM_RETRY_MS: u64 = 300;
 
 /// Retry-After while no endpoint has room, in milliseconds: about the length of a request.
-const NO_ROOM_RETRY_MS: u64 = 250;
+pub(crate) const NO_ROOM_RETRY_MS: u64 = 250;
 
 /// Retry-After while no endpoint can be reached, in milliseconds: the first pause of one that
 /// failed.
-const NO_ENDPOINT_RETRY_MS: u64 = 250;
+pub(crate) const NO_ENDPOINT_RETRY_MS: u64 = 250;
 
 /// Tokens reserved for a turn that does not tell how many it generates at most.
 const DEFAULT_MOST_TOKENS: u32 = 4_096;
@@ -133,6 +132,22 @@
     body: Incoming,
     arrived_ms: u64,
 ) -> Result<Response<CallBody>, Refusal> {
+    let admitted = admit(edge, call, parts, body, arrived_ms).await?;
+    match admitted.route.kind {
+        CallKind::Stream { .. } => run_stream(edge, admitted).await,
+        CallKind::Idempotent | CallKind::Once => run_plain(edge, &admitted).await,
+    }
+}
+
+/// Checks whether a request may run. What is known at once is checked before its body is
+/// read, and its customer's rate last.
+async fn admit(
+    edge: &Rc<Edge>,
+    call: CallHead,
+    parts: &Parts,
+    body: Incoming,
+    arrived_ms: u64,
+) -> Result<Admitted, Refusal> {
     let configuration = edge.configuration();
     let route = find_route(edge, &configuration, &call, parts)?.clone();
     let customer = find_customer(edge, &configuration, &route, &call, arrived_ms)?;
@@ -153,11 +168,7 @@
         .as_ref()
         .and_then(|(_, customer)| customer.priority);
     let rank = priority.unwrap_or(route.priority);
-    let time_left_ms = call
-        .program
-        .as_ref()
-        .and_then(|program| program.time_left_ms);
-    let admitted = Admitted {
+    Ok(Admitted {
         service,
         outgoing: Outgoing {
             method: parts.method.clone(),
@@ -166,7 +177,7 @@
             body,
             request_id: call.request_id.clone(),
             customer: customer.map(|(name, _)| name),
-            priority: engine.map(|_| engine_priority(rank, time_left_ms)),
+            priority: engine.map(|_| engine_priority(rank, time_left_ms(&call))),
             most_idle: most_connections / IDLE_PART + LEAST_IDLE,
         },
         route,
@@ -174,23 +185,12 @@
         arrived_ms,
         limit_ms,
         event_tokens: engine.map_or(1, |engine| engine.event_tokens),
-    };
-    match admitted.route.kind {
-        CallKind::Stream { .. } => run_stream(edge, admitted).await,
-        CallKind::Idempotent | CallKind::Once => run_plain(edge, &admitted).await,
-    }
+    })
 }
 
-/// Whether the program of a request is known to have begun.
-fn quota_use(edge: &Edge, call: &CallHead) -> QuotaUse {
-    let program = call.program.as_ref();
-    let has_begun = program.is_some_and(|program| {
-        call.previous_turn.is_some() || edge.affinity.borrow().contains_key(&program.id)
-    });
-    match has_begun {
-        true => QuotaUse::GoOn,
-        false => QuotaUse::Begin,
-    }
+/// Time that the program of a request has left, in milliseconds.
+fn time_left_ms(call: &CallHead) -> Option<u64> {
+    call.program.as_ref()?.time_left_ms
 }
 
 /// The target of the request as an endpoint gets it: path and query as the caller sent them.
@@ -199,117 +199,6 @@
     target.map_or_else(|| parts.uri.clone(), hyper::Uri::from)
 }
 
-fn find_route<'a>(
-    edge: &Edge,
-    configuration: &'a Configuration,
-    call: &CallHead,
-    parts: &Parts,
-) -> Result<&'a Route, Refusal> {
-    match configuration.route(&call.host, parts.uri.path()) {
-        Some(route) => Ok(route),
-        None if edge.is_configuration_recent() => {
-            Err(Refusal::denied(StatusCode::NOT_FOUND, "no_route"))
-        }
-        None => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
-    }
-}
-
-/// The customer that holds the caller's key, unless the route is open to all.
-fn find_customer(
-    edge: &Edge,
-    configuration: &Configuration,
-    route: &Route,
-    call: &CallHead,
-    arrived_ms: u64,
-) -> Result<Option<(String, Customer)>, Refusal> {
-    if route.is_open || configuration.customers.is_empty() {
-        return Ok(None);
-    }
-    let revocation_ms = edge.settings.bounds.revocation_ms;
-    let is_fresh = edge.freshness.borrow().admits(arrived_ms, revocation_ms);
-    let key = call.key.as_deref();
-    match key.and_then(|key| configuration.customer_of(key)) {
-        _ if !is_fresh => {
-            Err(Refusal::not_now("configuration_old", STALE_RETRY_MS).moving_on())
-        }
-        Some((name, customer)) => Ok(Some((name.to_string(), customer))),
-        None if edge.is_configuration_recent() => {
-            Err(Refusal::denied(StatusCode::UNAUTHORIZED, "unknown_key"))
-        }
-        None => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
-    }
-}
-
-fn choose_service(route: &Route) -> String {
-    let total: u32 = route.services.iter().map(|share| share.weight).sum();
-    let mut point = rand::rng().random_range(0..total.max(1));
-    for share in &route.services {
-        match point.checked_sub(share.weight) {
-            Some(rest) => point = rest,
-            None => return share.service.clone(),
-        }
-    }
-    route.services[0].service.clone()
-}
-
-fn check_endpoints(edge: &Edge, service: &str) -> Result<(), Refusal> {
-    let balancer = edge.balancer.borrow();
-    match balancer.serves(service) {
-        false => Err(Refusal::not_now("no_endpoint", NO_ENDPOINT_RETRY_MS)),
-        true if balancer.is_overloaded(now_ms(), service) => {
-            Err(Refusal::not_now("overloaded", NO_ROOM_RETRY_MS))
-        }
-        true => Ok(()),
-    }
-}
-
-/// Refuses at once what needs the group while it is not in contact.
-fn check_group(
-    edge: &Edge,
-    route: &Route,
-    call: &CallHead,
-    needs_quota: bool,
-) -> Result<(), Refusal> {
-    let budget = call
-        .program
-        .as_ref()
-        .and_then(|program| program.budget_tokens);
-    let is_stream = matches!(route.kind, CallKind::Stream { .. });
-    let needs_quorum = is_stream && (budget.is_some() || route.keeps_turns);
-    let contact = edge.members.contact();
-    let now_ms = now_ms();
-    match (needs_quorum, needs_quota) {
-        (true, _) if !contact.has_quorum(now_ms) => {
-            Err(Refusal::not_now("group_lost", contact.retry_ms(now_ms)).moving_on())
-        }
-        (false, true) if !contact.has_member(now_ms) => {
-            Err(Refusal::not_now("group_lost", contact.retry_ms(now_ms)).moving_on())
-        }
-        _ => Ok(()),
-    }
-}
-
-async fn read_body(
-    configuration: &Configuration,
-    body: Incoming,
-    limit_ms: u64,
-) -> Result<Bytes, Refusal> {
-    if hyper::body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
-    }
-    let limited = Limited::new(body, configuration.limits.body_bytes);
-    let reading =
-        tokio::time::timeout(Duration::from_millis(limit_ms), limited.collect());
-    match reading.await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(
-            Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
-        ),
-        Ok(Err(_)) => Err(Refusal::denied(StatusCode::BAD_REQUEST, "body_broken_off")),
-        Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "body_late")),
-    }
-}
-
 /// Runs a request of a plain service. The answer is handed over whole.
 async fn run_plain(
     edge: &Rc<Edge>,
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -110,30 +110,14 @@
         idle_ms: 0,
         most_idle: outgoing.most_idle,
     };
-    let began_ms = now_ms();
     let timeout = Duration::from_millis(times.patience_ms);
-    let sent = tokio::time::timeout(timeout, async {
-        let left_ms = || times.left_ms.saturating_sub(now_ms() - began_ms);
-        let idle = edge.pool.borrow_mut().take(now_ms(), pick.key);
-        if let Some(mut link) = idle {
-            let request = request(edge, pick, outgoing, last_event_id, left_ms());
-            let response = link.send(request).await;
-            // The endpoint may have closed the connection while it was idle.
-            if !matches!(response, Err(SendError::NotSent(_))) {
-                lease.link = Some(link);
-                return response;
-            }
+    let exchange = exchange(edge, pick, outgoing, last_event_id, times.left_ms);
+    let sent = tokio::time::timeout(timeout, exchange).await;
+    let response = match sent {
+        Ok(Ok((link, response))) => {
+            lease.link = Some(link);
+            response
         }
-        let mut link = HttpLink::connect(pick.address, CONNECT_TIMEOUT_MS)
-            .await
-            .map_err(|error| SendError::NotSent(error.to_string()))?;
-        let request = request(edge, pick, outgoing, last_event_id, left_ms());
-        let response = link.send(request).await;
-        lease.link = Some(link);
-        response
-    });
-    let response = match sent.await {
-        Ok(Ok(response)) => response,
         Ok(Err(SendError::NotSent(reason))) => {
             probe_until_reachable(edge, pick);
             return Err(edge.endpoint_failed(pick, outgoing, Outcome::NotSent, &reason));
@@ -153,6 +137,33 @@
     examine(edge, pick, outgoing, response, lease)
 }
 
+/// Sends a request on an idle connection, or on a new one.
+async fn exchange(
+    edge: &Rc<Edge>,
+    pick: &Pick,
+    outgoing: &Outgoing,
+    last_event_id: Option<u64>,
+    left_ms: u64,
+) -> Result<(HttpLink, Response<Incoming>), SendError> {
+    let began_ms = now_ms();
+    let request = || {
+        let left_ms = left_ms.saturating_sub(now_ms() - began_ms);
+        request(edge, pick, outgoing, last_event_id, left_ms)
+    };
+    let idle = edge.pool.borrow_mut().take(now_ms(), pick.key);
+    if let Some(mut link) = idle {
+        match link.send(request()).await {
+            // The endpoint may have closed the connection while it was idle.
+            Err(SendError::NotSent(_)) => {}
+            response => return response.map(|response| (link, response)),
+        }
+    }
+    let connected = HttpLink::connect(pick.address, CONNECT_TIMEOUT_MS).await;
+    let mut link = connected.map_err(|error| SendError::NotSent(error.to_string()))?;
+    let response = link.send(request()).await?;
+    Ok((link, response))
+}
+
 /// Keeps requests away from an endpoint until it takes a connection again.
 fn probe_until_reachable(edge: &Rc<Edge>, pick: &Pick) {
     if !edge.balancer.borrow_mut().suspend(pick.key) {
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -1,7 +1,6 @@
 //! Questions of an entry instance to the group of instances with disks.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +13,7 @@
 
 use crate::clock::now_ms;
 use crate::contact::Contact;
-use crate::link::{Link, LinkError};
+use crate::link::{LinkError, Links};
 use crate::membership::DECISION_LIMIT_MS;
 
 /// Time for an answer, in milliseconds: several syncs of a disk, and the way there.
@@ -68,7 +67,7 @@
 pub(crate) struct Members {
     availability_zone: String,
     group: RefCell<Rc<Group>>,
-    links: RefCell<HashMap<String, Rc<Link>>>,
+    links: Links,
     contact: RefCell<Contact>,
 }
 
@@ -77,7 +76,7 @@
         Members {
             availability_zone: availability_zone.to_string(),
             group: RefCell::default(),
-            links: RefCell::default(),
+            links: Links::default(),
             contact: RefCell::default(),
         }
     }
@@ -120,26 +119,13 @@
         members
     }
 
-    fn link(&self, member: &Member) -> Rc<Link> {
-        let mut links = self.links.borrow_mut();
-        let link = links.get(&member.name);
-        match link.filter(|link| link.address() == member.address) {
-            Some(link) => Rc::clone(link),
-            None => {
-                let link = Rc::new(Link::new(member.address));
-                links.insert(member.name.clone(), Rc::clone(&link));
-                link
-            }
-        }
-    }
-
     pub(crate) async fn ask(
         &self,
         member: &Member,
         ask: Ask,
         timeout_ms: u64,
     ) -> Result<Answer, LinkError> {
-        let link = self.link(member);
+        let link = self.links.to(member);
         let group_version = self.group().version;
         let answer = link.ask(group_version, ask, timeout_ms).await;
         if answer.is_ok() {
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! An entry instance: takes callers' requests and sends each to an endpoint.
 
+mod admission;
 mod body;
 mod call;
 mod exchange;
@@ -204,8 +205,8 @@
         let now_ms = now_ms();
         log::info!(
             "event=refused request={} program={} customer={} status={} reason={} ran={} \
-             retry_after_ms={:?} configuration_version={} configuration_age_ms={:?} \
-             group_version={} group_silence_ms={:?} elapsed_ms={}",
+             retry_after_ms={} configuration_version={} configuration_age_ms={} \
+             group_version={} group_silence_ms={} elapsed_ms={}",
             about.request_id,
             about.program,
             about.customer,
@@ -216,16 +217,28 @@
             } else {
                 "unknown"
             },
-            refusal.retry_after_ms,
+            OrNone(refusal.retry_after_ms),
             self.configuration().version,
-            self.freshness.borrow().age_ms(now_ms),
+            OrNone(self.freshness.borrow().age_ms(now_ms)),
             self.members.group().version,
-            self.members.contact().silence_ms(now_ms),
+            OrNone(self.members.contact().silence_ms(now_ms)),
             now_ms.saturating_sub(about.arrived_ms),
         );
     }
 }
 
+/// A number in a log line, or `none`.
+struct OrNone(Option<u64>);
+
+impl fmt::Display for OrNone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(number) => write!(f, "{number}"),
+            None => f.write_str("none"),
+        }
+    }
+}
+
 /// What log lines tell of a request.
 struct CallSummary {
     request_id: String,
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -13,11 +13,11 @@
 use tokio::sync::mpsc;
 
 use crate::clock::now_ms;
-use crate::edge::Edge;
 use crate::edge::body::{CallBody, Piece};
 use crate::edge::call::{Admitted, pick_endpoint, refusal_after};
 use crate::edge::exchange::{Answered, Lease, send};
 use crate::edge::refusal::Refusal;
+use crate::edge::{Edge, OrNone};
 use crate::events::{EventReader, StreamEvent};
 use crate::retry::{Attempt, Outcome, Step};
 
@@ -138,12 +138,12 @@
         self.edge.balancer.borrow_mut().fail(now_ms(), key);
         let step = self.attempt.next(self.admitted.policy(), Outcome::Unknown);
         log::info!(
-            "event=stream_broken request={} program={} endpoint={:?} reason={reason:?} \
-             last_event={:?} step={step:?}",
+            "event=stream_broken request={} program={} endpoint={} reason={reason:?} \
+             last_event={} step={step:?}",
             self.admitted.call.request_id,
             self.admitted.program().unwrap_or("none"),
-            self.tried.last(),
-            self.last_event_id,
+            self.tried.last().map_or("none", String::as_str),
+            OrNone(self.last_event_id),
         );
         step == Step::SendAgain
     }
@@ -294,9 +294,9 @@
 
 fn note_gone(call: &StreamCall) {
     log::info!(
-        "event=caller_gone request={} last_event={:?} elapsed_ms={}",
+        "event=caller_gone request={} last_event={} elapsed_ms={}",
         call.admitted.call.request_id,
-        call.last_event_id,
+        OrNone(call.last_event_id),
         now_ms().saturating_sub(call.admitted.arrived_ms),
     );
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -14,7 +14,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
-use jayreel_ledger::{Answer, Ask, Reply, Request};
+use jayreel_ledger::{Answer, Ask, Member, Reply, Request};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{Mutex, mpsc, oneshot};
@@ -86,17 +86,13 @@
 }
 
 impl Link {
-    pub(crate) fn new(address: SocketAddr) -> Link {
+    fn new(address: SocketAddr) -> Link {
         Link {
             address,
             state: Mutex::new(State::default()),
         }
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Asks a question.
     ///
     /// # Errors
@@ -175,6 +171,28 @@
     }
 }
 
+/// Connections to instances with disks, by their names.
+#[derive(Default)]
+pub(crate) struct Links {
+    by_name: RefCell<HashMap<String, Rc<Link>>>,
+}
+
+impl Links {
+    /// The connection to an instance. One that has moved to another address gets a new one.
+    pub(crate) fn to(&self, member: &Member) -> Rc<Link> {
+        let mut links = self.by_name.borrow_mut();
+        let known = links.get(&member.name);
+        match known.filter(|link| link.address == member.address) {
+            Some(link) => Rc::clone(link),
+            None => {
+                let link = Rc::new(Link::new(member.address));
+                links.insert(member.name.clone(), Rc::clone(&link));
+                link
+            }
+        }
+    }
+}
+
 fn open(stream: TcpStream) -> Connection {
     let (read, write) = stream.into_split();
     let (outgoing, queue) = mpsc::unbounded_channel();
--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -109,7 +109,7 @@
 }
 
 async fn copy_from(storage: &Storage, source: &Member) {
-    let link = storage.link(source);
+    let link = storage.links.to(source);
     let group = storage.node.borrow().group().clone();
     let version = group.version;
     let adopted = link.ask(version, Ask::Adopt(group), ASK_TIMEOUT_MS).await;
@@ -279,7 +279,7 @@
     let me = &storage.settings.name;
     let others = group.members.iter().filter(|member| member.name != *me);
     let answers = futures::future::join_all(others.map(|member| async move {
-        let link = storage.link(member);
+        let link = storage.links.to(member);
         let answer = link.ask(group.version, Ask::Status, ASK_TIMEOUT_MS).await;
         (member.name.clone(), answer)
     }))
@@ -321,7 +321,7 @@
     let told = next.members.iter().chain(&next.previous);
     let me = &storage.settings.name;
     futures::future::join_all(told.filter(|member| member.name != *me).map(|member| {
-        let (link, next) = (storage.link(member), next.clone());
+        let (link, next) = (storage.links.to(member), next.clone());
         async move {
             link.ask(next.version, Ask::Adopt(next), ASK_TIMEOUT_MS)
                 .await
@@ -371,7 +371,7 @@
     while let Some(next) = cursor {
         let (facts, following) = storage.node.borrow().part(next);
         let sends = group.members.iter().map(|member| {
-            let (link, facts) = (storage.link(member), facts.clone());
+            let (link, facts) = (storage.links.to(member), facts.clone());
             async move {
                 let ask = Ask::KeepFacts(facts);
                 link.ask(group.version, ask, PART_TIMEOUT_MS).await
--- a/crates/gateway/src/storage/mod.rs
+++ b/crates/gateway/src/storage/mod.rs
@@ -1,6 +1,7 @@
 //! An instance with a disk: keeps charges and turns, and hands out its part of customers'
 //! rates.
 
+mod answers;
 mod care;
 mod disk;
 mod node;
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use jayreel_ledger::{
-    Answer, Ask, Book, CatchUp, Fact, Freshness as Shared, Group, Member, QuotaWant,
-    RateLimit, RateShare, Reply, Request, encode_frame,
+    Book, CatchUp, Fact, Group, Member, RateLimit, RateShare, Reply, Request,
+    encode_frame,
 };
 use slotmap::new_key_type;
 
@@ -16,9 +16,6 @@
     pub struct ConnectionKey;
 }
 
-/// Size of a part of a copy of all facts, in bytes.
-const PART_BYTES: usize = 512 << 10;
-
 /// What an instance with a disk uses of a configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ConfigurationFacts {
@@ -93,7 +90,7 @@
 
 /// Whether the instance may answer for the group.
 #[derive(Clone, Debug, Eq, PartialEq)]
-enum Standing {
+pub(super) enum Standing {
     /// It is no member.
     Spare,
     /// It is a member, but lacks facts.
@@ -107,18 +104,18 @@
 pub struct Node {
     name: String,
     is_first_start: bool,
-    book: Book,
-    group: Group,
-    standing: Standing,
-    rates: RateShare,
+    pub(super) book: Book,
+    pub(super) group: Group,
+    pub(super) standing: Standing,
+    pub(super) rates: RateShare,
     started_ms: u64,
     /// Until this time rates are divided by more than the present number of members: one
     /// that left may have granted its part in the window.
-    larger_parts: Option<(u64, usize)>,
-    freshness: Freshness,
-    configuration: Bytes,
+    pub(super) larger_parts: Option<(u64, usize)>,
+    pub(super) freshness: Freshness,
+    pub(super) configuration: Bytes,
     /// Store revision of `configuration`. 0 without one.
-    configuration_revision: u64,
+    pub(super) configuration_revision: u64,
     appended: u64,
     /// Number of the last append that must be synced. At most `appended`.
     must_sync: u64,
@@ -198,11 +195,6 @@
         }
     }
 
-    /// All facts in parts, for another instance.
-    pub fn part(&self, cursor: u64) -> (Vec<Fact>, Option<u64>) {
-        self.book.part(cursor, PART_BYTES)
-    }
-
     /// All facts, for a compacted log.
     pub fn facts(&self) -> Vec<Fact> {
         self.book.facts()
@@ -237,201 +229,9 @@
         }
     }
 
-    fn answer(
-        &mut self,
-        now_ms: u64,
-        to: ConnectionKey,
-        request: Request,
-    ) -> Vec<Effect> {
-        let Request {
-            id,
-            group_version,
-            ask,
-        } = request;
-        let reply = |answer| Reply { id, answer };
-        if let Some(answer) = self.refusal(group_version, &ask) {
-            return vec![Effect::Reply {
-                connection: to,
-                reply: reply(answer),
-            }];
-        }
-        match ask {
-            Ask::Reserve(reservation) => {
-                let program = reservation.program.clone();
-                let fact = Fact::Reserved(reservation);
-                let is_new = self.book.merge(now_ms, &fact);
-                let answer = match self.is_voting() {
-                    true => Answer::Charges(self.book.charges(&program)),
-                    false => Answer::NotVoting,
-                };
-                self.append_and_reply(is_new, &[fact], to, reply(answer))
-            }
-            Ask::Settle(settlement) => {
-                let fact = Fact::Settled(settlement);
-                self.merge_and_reply(now_ms, &[fact], to, reply(Answer::Done))
-            }
-            Ask::KeepTurn(record) => {
-                let fact = Fact::Turn(record);
-                self.merge_and_reply(now_ms, &[fact], to, reply(Answer::Done))
-            }
-            Ask::KeepFacts(facts) => {
-                let facts: Vec<Fact> =
-                    facts.into_iter().filter(Fact::is_shared).collect();
-                self.merge_and_reply(now_ms, &facts, to, reply(Answer::Done))
-            }
-            Ask::Adopt(group) => {
-                let mut effects = self.learn_group(now_ms, group);
-                effects.push(Effect::Reply {
-                    connection: to,
-                    reply: reply(Answer::Done),
-                });
-                effects
-            }
-            Ask::TakeQuota {
-                configuration_version,
-                wants,
-            } if self.is_voting() => {
-                let (answer, facts) = self.grant(now_ms, configuration_version, &wants);
-                for fact in &facts {
-                    self.book.merge(now_ms, fact);
-                }
-                let mut effects = vec![Effect::Reply {
-                    connection: to,
-                    reply: reply(answer),
-                }];
-                if !facts.is_empty() {
-                    effects.extend(self.append(&facts));
-                }
-                effects
-            }
-            ask => vec![Effect::Reply {
-                connection: to,
-                reply: reply(self.look_up(now_ms, ask)),
-            }],
-        }
-    }
-
-    /// Why a question that needs the group cannot be answered.
-    fn refusal(&self, group_version: u64, ask: &Ask) -> Option<Answer> {
-        let needs_group = matches!(
-            ask,
-            Ask::Reserve(_)
-                | Ask::Charges(_)
-                | Ask::KeepTurn(_)
-                | Ask::Chain { .. }
-                | Ask::TakeQuota { .. }
-                | Ask::CopyPart { .. }
-        );
-        match needs_group {
-            false => None,
-            true if group_version < self.group.version => {
-                Some(Answer::Closed(self.group.clone()))
-            }
-            true if group_version > self.group.version => Some(Answer::Unavailable),
-            true if matches!(ask, Ask::CopyPart { .. }) => None,
-            true if self.standing == Standing::Spare => Some(Answer::NotVoting),
-            true => None,
-        }
-    }
-
-    /// Answers a question that changes nothing on disk.
-    fn look_up(&mut self, now_ms: u64, ask: Ask) -> Answer {
-        match ask {
-            Ask::Charges(program) if self.is_voting() => {
-                Answer::Charges(self.book.charges(&program))
-            }
-            Ask::Chain { turn } => {
-                let chain = self.book.chain(now_ms, &turn);
-                match chain.turns.is_empty() && !self.is_voting() {
-                    true => Answer::NotVoting,
-                    false => Answer::Chain(chain.turns),
-                }
-            }
-            Ask::CopyPart { cursor } => {
-                let (facts, next) = self.part(cursor);
-                Answer::Part {
-                    facts,
-                    next,
-                    is_complete: self.is_voting() || self.was_complete(),
-                }
-            }
-            Ask::Status => Answer::Status {
-                is_voting: self.is_voting(),
-                group_version: self.group.version,
-            },
-            Ask::Configuration { known_revision } => {
-                self.share_configuration(now_ms, known_revision)
-            }
-            _ => Answer::NotVoting,
-        }
-    }
-
-    /// A member that left still holds all facts of the group before.
-    fn was_complete(&self) -> bool {
-        let version = self.book.complete_version();
-        version.is_some_and(|version| version + 1 >= self.group.version)
-    }
-
-    fn grant(
-        &mut self,
-        now_ms: u64,
-        version: u64,
-        wants: &[QuotaWant],
-    ) -> (Answer, Vec<Fact>) {
-        let parts = match self.larger_parts {
-            Some((until_ms, parts)) if now_ms < until_ms => parts,
-            _ => self.group.members.len(),
-        };
-        let mut granted = Vec::new();
-        let mut facts = Vec::new();
-        for want in wants {
-            let customer = &want.customer;
-            self.rates.learn(now_ms, version, customer, want.limit);
-            let count =
-                self.rates
-                    .take(now_ms, customer, want.requests, parts, want.quota_use);
-            granted.push(count);
-            if count > 0 {
-                facts.push(Fact::Granted {
-                    at_ms: now_ms,
-                    customer: customer.clone(),
-                    count,
-                });
-            }
-        }
-        (Answer::Quota(granted), facts)
-    }
-
-    fn share_configuration(&self, now_ms: u64, known_revision: u64) -> Answer {
-        match self.freshness.age_ms(now_ms) {
-            Some(age_ms) => Answer::Configuration(Shared {
-                revision: self.configuration_revision,
-                age_ms,
-                content: (self.configuration_revision > known_revision)
-                    .then(|| self.configuration.clone()),
-            }),
-            None => Answer::Unavailable,
-        }
-    }
-
-    fn merge_and_reply(
-        &mut self,
-        now_ms: u64,
-        facts: &[Fact],
-        to: ConnectionKey,
-        reply: Reply,
-    ) -> Vec<Effect> {
-        let news: Vec<Fact> = facts
-            .iter()
-            .filter(|fact| self.book.merge(now_ms, fact))
-            .cloned()
-            .collect();
-        self.append_and_reply(!news.is_empty(), &news, to, reply)
-    }
-
     /// Replies once the facts are on disk. Facts that were known may still be on their way
     /// there, so the reply waits for the last append in any case.
-    fn append_and_reply(
+    pub(super) fn append_and_reply(
         &mut self,
         is_new: bool,
         facts: &[Fact],
@@ -447,7 +247,7 @@
         effects
     }
 
-    fn append(&mut self, facts: &[Fact]) -> Option<Effect> {
+    pub(super) fn append(&mut self, facts: &[Fact]) -> Option<Effect> {
         let mut frames = Vec::new();
         for fact in facts {
             if let Err(error) = encode_frame(fact, &mut frames) {
@@ -486,7 +286,7 @@
         effects
     }
 
-    fn learn_group(&mut self, now_ms: u64, group: Group) -> Vec<Effect> {
+    pub(super) fn learn_group(&mut self, now_ms: u64, group: Group) -> Vec<Effect> {
         if group.version <= self.group.version {
             return Vec::new();
         }
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -2,7 +2,6 @@
 //! the reducer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 
 use eyre::OptionExt;
@@ -15,7 +14,7 @@
 use crate::clock::now_ms;
 use crate::directory::MetadataStore;
 use crate::edge::listen::{accept, listen, serve_text, wait_for_stop};
-use crate::link::{Link, accept as split, decode_request, write_messages};
+use crate::link::{Links, accept as split, decode_request, write_messages};
 use crate::settings::NodeSettings;
 use crate::storage::care;
 use crate::storage::disk::Disk;
@@ -34,7 +33,7 @@
     /// The group was read from the store since the start.
     pub has_read_group: Cell<bool>,
     connections: RefCell<SlotMap<ConnectionKey, mpsc::UnboundedSender<Reply>>>,
-    links: RefCell<HashMap<String, Rc<Link>>>,
+    pub links: Links,
 }
 
 /// Runs an instance with a disk until it is told to stop.
@@ -72,7 +71,7 @@
         logged_bytes: Cell::new(0),
         has_read_group: Cell::new(false),
         connections: RefCell::default(),
-        links: RefCell::default(),
+        links: Links::default(),
     });
     care::start(&storage);
     let disk_lost = tokio::task::spawn_local(follow_disk(Rc::clone(&storage), synced));
@@ -129,20 +128,6 @@
         }
     }
 
-    /// The connection to another instance with a disk.
-    pub(crate) fn link(&self, member: &Member) -> Rc<Link> {
-        let mut links = self.links.borrow_mut();
-        let known = links.get(&member.name);
-        match known.filter(|link| link.address() == member.address) {
-            Some(link) => Rc::clone(link),
-            None => {
-                let link = Rc::new(Link::new(member.address));
-                links.insert(member.name.clone(), Rc::clone(&link));
-                link
-            }
-        }
-    }
-
     /// Applies an event and does what follows from it.
     pub(crate) fn apply(&self, event: Event) {
         let effects = self.node.borrow_mut().apply(now_ms(), event);
