--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -80,6 +80,10 @@
         let shared = edge.members.nearest_configuration(known).await;
         if let Some(found) = shared.filter(|found| found.age_ms <= MOST_SHARED_AGE_MS) {
             edge.take_shared_configuration(began_ms, found);
+            if !is_reachable {
+                log::info!("event=store_regained by=member");
+                is_reachable = true;
+            }
             pause(interval_ms).await;
             continue;
         }
