gateway: bound the lines of one log write

Cause: the writer took lines until the queue was empty while others kept pushing, so one write could grow without bound, and no line was lost however long it took. Ruled out: a fault of the counting (the sum of written and lost lines was right in the failed run).

--- a/crates/gateway/src/log_queue.rs
+++ b/crates/gateway/src/log_queue.rs
@@ -83,9 +83,18 @@
     }
 }
 
+/// Text of one write: `first`, and at most as many of `waiting` as fit into the queue.
+///
+/// Lines may be queued while the batch is put together, so that `waiting` need not end.
+pub fn batch_lines(first: String, waiting: impl Iterator<Item = String>) -> String {
+    waiting
+        .take(MOST_WAITING_LINES)
+        .fold(first, |text, line| text + &line)
+}
+
 fn write_lines(mut output: impl Write, queue: &Receiver<String>, lost: &AtomicU64) {
-    while let Ok(mut text) = queue.recv() {
-        queue.try_iter().for_each(|line| text.push_str(&line));
+    while let Ok(first) = queue.recv() {
+        let mut text = batch_lines(first, queue.try_iter());
         let count = lost.swap(0, Ordering::Relaxed);
         if count > 0 {
             text.push_str(&format!("level=warn event=log_lost lines={count}\n"));
--- a/crates/gateway/tests/log_queue.rs
+++ b/crates/gateway/tests/log_queue.rs
@@ -1,9 +1,10 @@
 //! Logs hold nobody up, and say what they lost.
 
 use std::io::{self, Write};
+use std::iter;
 use std::sync::mpsc::{Receiver, Sender, channel};
 
-use jayreel_gateway::{LineBudget, LogQueue, MOST_WAITING_LINES};
+use jayreel_gateway::{LineBudget, LogQueue, MOST_WAITING_LINES, batch_lines};
 
 /// An output that is stuck until it is told to go on, and hands on what is written.
 struct Stuck {
@@ -52,6 +53,15 @@
     assert!(lost > 0, "the test must fill the queue");
 }
 
+/// Lines that come while a batch is put together wait for the next one, even if they never end:
+/// the memory for a write is bounded, and so is the time until it begins.
+#[test]
+fn batch_is_bounded() {
+    let endless = iter::repeat_with(|| "event=test\n".to_string());
+    let batch = batch_lines("event=first\n".to_string(), endless);
+    assert_eq!(batch.lines().count(), 1 + MOST_WAITING_LINES);
+}
+
 /// Ten times the usual load: lines about answers stay within the budget, and the rest is
 /// counted.
 #[test]
