gateway: count answers of members in one version of the group only

Cause: while an entry instance collected answers about a turn, another of its tasks could adopt a newer group; questions sent after that carried the newer version, and the answers of both versions were counted together. A member that had left (still at version 1) and two that stay (at version 3) then made up 'nobody has it', though a quorum of version 3 held the turn; in the same way a turn could count as kept with one copy in the new group. Ruled out: copying to the joining members (they were still copying and did not vote; every quorum of version 3 shared a member with the copies). Conclusion: the version is an argument of each question, a Closed answer ends the round, and a round that was closed is repeated once with the newer group.

--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use jayreel_ledger::{
     Answer, Ask, Decision, Freshness, Group, Member, Phase, ProgramKey, QuotaWant,
     Reservation, Settlement, Tally, TurnRecord, turn_digest,
@@ -13,7 +13,7 @@
 
 use crate::clock::now_ms;
 use crate::contact::Contact;
-use crate::link::{LinkError, Links};
+use crate::link::{LinkError, MemberLinks};
 use crate::membership::DECISION_LIMIT_MS;
 
 /// Time for an answer, in milliseconds: several syncs of a disk, and the way there.
@@ -43,7 +43,7 @@
 
 /// The group did not answer in a way that decides.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct NoQuorum;
+pub struct NoQuorum;
 
 /// A decision that took too long may rest on the answer of a member that has lost its disk
 /// since and votes again without knowing it.
@@ -56,7 +56,7 @@
 
 /// Whether a turn exists.
 #[derive(Debug)]
-pub(crate) enum FoundChain {
+pub enum FoundChain {
     /// Newest turn first, perhaps not to the beginning.
     Turns(Vec<TurnRecord>),
     /// No member can have it.
@@ -64,30 +64,33 @@
 }
 
 /// Connections to the members.
-pub(crate) struct Members {
+pub struct Members {
     availability_zone: String,
     group: RefCell<Rc<Group>>,
-    links: Links,
+    links: Box<dyn MemberLinks>,
     contact: RefCell<Contact>,
 }
 
 impl Members {
-    pub(crate) fn new(availability_zone: &str) -> Members {
+    /// The members as an instance of this availability zone sees them, before it knows a
+    /// group.
+    pub fn new(availability_zone: &str, links: Box<dyn MemberLinks>) -> Members {
         Members {
             availability_zone: availability_zone.to_string(),
             group: RefCell::default(),
-            links: Links::default(),
+            links,
             contact: RefCell::default(),
         }
     }
 
-    pub(crate) fn group(&self) -> Rc<Group> {
+    /// The newest group known.
+    pub fn group(&self) -> Rc<Group> {
         Rc::clone(&self.group.borrow())
     }
 
     /// Learns a group. Older ones are ignored. Members hear of it, so that they close the
     /// versions before.
-    pub(crate) fn adopt(self: &Rc<Self>, group: Group) {
+    pub fn adopt(self: &Rc<Self>, group: Group) {
         if group.version <= self.group().version {
             return;
         }
@@ -104,13 +107,14 @@
 
     /// Tells a member the newest group.
     fn tell_group(self: &Rc<Self>, member: &Member) {
-        let ask = Ask::Adopt(Group::clone(&self.group()));
-        drop(self.spawn_ask(member.clone(), ask, QUICK_TIMEOUT_MS));
+        let group = self.group();
+        let ask = Ask::Adopt(Group::clone(&group));
+        drop(self.spawn_ask(group.version, member, ask, QUICK_TIMEOUT_MS));
     }
 
     /// Members, those of the own availability zone first. The order of the others depends
     /// on the key, so that load spreads.
-    pub(crate) fn in_order(&self, key: &str) -> Vec<Member> {
+    pub fn in_order(&self, key: &str) -> Vec<Member> {
         let mut members = self.group().members.clone();
         members.sort_by_cached_key(|member| {
             let is_remote = member.availability_zone != self.availability_zone;
@@ -119,15 +123,16 @@
         members
     }
 
-    pub(crate) async fn ask(
+    /// Asks a member in one version of the group. Answers of different versions must not be
+    /// counted together: a quorum of one need not share a member with a quorum of the other.
+    async fn ask(
         &self,
+        group_version: u64,
         member: &Member,
         ask: Ask,
         timeout_ms: u64,
     ) -> Result<Answer, LinkError> {
-        let link = self.links.to(member);
-        let group_version = self.group().version;
-        let answer = link.ask(group_version, ask, timeout_ms).await;
+        let answer = self.links.ask(member, group_version, ask, timeout_ms).await;
         if answer.is_ok() {
             self.contact.borrow_mut().note_member(now_ms());
         }
@@ -135,23 +140,24 @@
     }
 
     /// The contact with the group at present.
-    pub(crate) fn contact(&self) -> Contact {
+    pub fn contact(&self) -> Contact {
         *self.contact.borrow()
     }
 
     /// Asks all members whether they vote, if no quorum has answered lately.
-    pub(crate) async fn probe(self: &Rc<Self>) {
+    pub async fn probe(self: &Rc<Self>) {
         let silence_ms = self.contact().silence_ms(now_ms());
         if silence_ms.is_some_and(|silence_ms| silence_ms < PROBE_SILENCE_MS) {
             return;
         }
         let group = self.group();
+        let version = group.version;
         let mut answers: FuturesUnordered<_> = group
             .members
             .iter()
-            .map(|member| async move {
-                let answer = self.ask(member, Ask::Status, QUICK_TIMEOUT_MS).await;
-                (member, answer)
+            .map(|member| {
+                let asked = self.ask(version, member, Ask::Status, QUICK_TIMEOUT_MS);
+                asked.map(move |answer| (member, answer))
             })
             .collect();
         let mut voting = 0;
@@ -185,7 +191,7 @@
         let answers: FuturesUnordered<_> = group
             .members
             .iter()
-            .map(|member| self.spawn_ask(member.clone(), ask.clone(), timeout_ms))
+            .map(|member| self.spawn_ask(group.version, member, ask.clone(), timeout_ms))
             .collect();
         let mut answers = answers;
         let mut count = 0;
@@ -212,19 +218,20 @@
     /// Asks in a task of its own: the question is completed also if nobody waits any more.
     fn spawn_ask(
         self: &Rc<Self>,
-        member: Member,
+        group_version: u64,
+        member: &Member,
         ask: Ask,
         timeout_ms: u64,
     ) -> tokio::task::JoinHandle<Result<Answer, LinkError>> {
-        let members = Rc::clone(self);
-        tokio::task::spawn_local(
-            async move { members.ask(&member, ask, timeout_ms).await },
-        )
+        let (members, member) = (Rc::clone(self), member.clone());
+        tokio::task::spawn_local(async move {
+            members.ask(group_version, &member, ask, timeout_ms).await
+        })
     }
 
     /// Reserves tokens for a turn. If the answer is not `Admit`, or there is none, the
     /// caller must settle the turn with 0 tokens.
-    pub(crate) async fn reserve(
+    pub async fn reserve(
         self: &Rc<Self>,
         reservation: &Reservation,
         budget_tokens: u64,
@@ -265,19 +272,17 @@
 
     /// Tells what a turn used in the end. If it gets lost the reservation stays, which
     /// charges more than was used, never less.
-    pub(crate) fn settle(self: &Rc<Self>, settlement: &Settlement) {
-        for member in &self.group().members {
+    pub fn settle(self: &Rc<Self>, settlement: &Settlement) {
+        let group = self.group();
+        for member in &group.members {
             let ask = Ask::Settle(settlement.clone());
-            drop(self.spawn_ask(member.clone(), ask, ASK_TIMEOUT_MS));
+            drop(self.spawn_ask(group.version, member, ask, ASK_TIMEOUT_MS));
         }
     }
 
     /// Keeps a finished turn. Returns once enough members have it on disk. Repeating it
     /// does no harm, so it is tried again while the group changes or members are away.
-    pub(crate) async fn keep_turn(
-        self: &Rc<Self>,
-        record: &TurnRecord,
-    ) -> Result<(), NoQuorum> {
+    pub async fn keep_turn(self: &Rc<Self>, record: &TurnRecord) -> Result<(), NoQuorum> {
         let until_ms = now_ms() + COPY_TIMEOUT_MS;
         loop {
             let version = self.group().version;
@@ -292,29 +297,29 @@
     }
 
     async fn keep_once(self: &Rc<Self>, record: &TurnRecord) -> Result<(), NoQuorum> {
+        let group = self.group();
         let key = record.previous.as_deref().unwrap_or(&record.turn);
         let mut candidates = self.in_order(key).into_iter();
-        let copies = self.group().copies();
-        let mut pending = FuturesUnordered::new();
+        let copies = group.copies().max(1);
         let ask_next = |member: Member| {
             let ask = Ask::KeepTurn(record.clone());
-            self.spawn_ask(member, ask, COPY_TIMEOUT_MS)
+            self.spawn_ask(group.version, &member, ask, COPY_TIMEOUT_MS)
         };
+        let mut pending = FuturesUnordered::new();
         pending.extend(candidates.by_ref().take(copies).map(&ask_next));
         let hedge = tokio::time::sleep(Duration::from_millis(COPY_HEDGE_MS));
         tokio::pin!(hedge);
         let mut is_hedged = false;
         let mut kept = 0;
-        while kept < copies.max(1) {
+        while kept < copies {
             tokio::select! {
                 answer = pending.next() => match answer {
                     Some(Ok(Ok(Answer::Done))) => kept += 1,
-                    Some(answer) => {
-                        if let Ok(Ok(Answer::Closed(newer))) = answer {
-                            self.adopt(newer);
-                        }
-                        pending.extend(candidates.next().map(&ask_next));
+                    Some(Ok(Ok(Answer::Closed(newer)))) => {
+                        self.adopt(newer);
+                        return Err(NoQuorum);
                     }
+                    Some(_) => pending.extend(candidates.next().map(&ask_next)),
                     None => return Err(NoQuorum),
                 },
                 () = &mut hedge, if !is_hedged => {
@@ -326,18 +331,25 @@
         Ok(())
     }
 
-    /// Finds a turn and those before it.
-    pub(crate) async fn chain(
-        self: &Rc<Self>,
-        turn: &str,
-    ) -> Result<FoundChain, NoQuorum> {
+    /// Finds a turn and those before it. Tried again if the group has changed meanwhile.
+    pub async fn chain(self: &Rc<Self>, turn: &str) -> Result<FoundChain, NoQuorum> {
+        let version = self.group().version;
+        match self.chain_once(turn).await {
+            Err(NoQuorum) if self.group().version > version => {
+                self.chain_once(turn).await
+            }
+            result => result,
+        }
+    }
+
+    async fn chain_once(self: &Rc<Self>, turn: &str) -> Result<FoundChain, NoQuorum> {
         let group = self.group();
         let mut candidates = self.in_order(turn).into_iter();
         let ask_next = |member: Member| {
             let ask = Ask::Chain {
                 turn: turn.to_string(),
             };
-            self.spawn_ask(member, ask, ASK_TIMEOUT_MS)
+            self.spawn_ask(group.version, &member, ask, ASK_TIMEOUT_MS)
         };
         let mut pending = FuturesUnordered::new();
         pending.extend(candidates.next().map(&ask_next));
@@ -352,12 +364,12 @@
                     Some(Ok(Ok(Answer::Chain(turns)))) if !turns.is_empty() => {
                         return Ok(FoundChain::Turns(turns));
                     }
+                    Some(Ok(Ok(Answer::Closed(newer)))) => {
+                        self.adopt(newer);
+                        return Err(NoQuorum);
+                    }
                     Some(answer) => {
-                        match answer {
-                            Ok(Ok(Answer::Chain(_))) => without += 1,
-                            Ok(Ok(Answer::Closed(newer))) => self.adopt(newer),
-                            _ => {}
-                        }
+                        without += usize::from(matches!(answer, Ok(Ok(Answer::Chain(_)))));
                         if without >= readable && !group.members.is_empty() {
                             return Ok(FoundChain::Missing);
                         }
@@ -374,7 +386,7 @@
     }
 
     /// Takes tokens of customers' rates from one member.
-    pub(crate) async fn take_quota(
+    pub async fn take_quota(
         self: &Rc<Self>,
         member: &Member,
         configuration_version: u64,
@@ -384,7 +396,8 @@
             configuration_version,
             wants,
         };
-        match self.ask(member, ask, QUICK_TIMEOUT_MS).await {
+        let group_version = self.group().version;
+        match self.ask(group_version, member, ask, QUICK_TIMEOUT_MS).await {
             Ok(Answer::Quota(granted)) => Some(granted),
             Ok(Answer::Closed(newer)) => {
                 self.adopt(newer);
@@ -395,25 +408,27 @@
     }
 
     /// The configuration and its freshness from the nearest member.
-    pub(crate) async fn nearest_configuration(
-        &self,
-        known_revision: u64,
-    ) -> Option<Freshness> {
+    pub async fn nearest_configuration(&self, known_revision: u64) -> Option<Freshness> {
         let member = self.in_order("configuration").into_iter().next()?;
         let ask = Ask::Configuration { known_revision };
-        match self.ask(&member, ask, QUICK_TIMEOUT_MS).await {
+        let group_version = self.group().version;
+        match self
+            .ask(group_version, &member, ask, QUICK_TIMEOUT_MS)
+            .await
+        {
             Ok(Answer::Configuration(freshness)) => Some(freshness),
             _ => None,
         }
     }
 
     /// The configuration and its freshness from all members.
-    pub(crate) async fn configuration(&self, known_revision: u64) -> Vec<Freshness> {
+    pub async fn configuration(&self, known_revision: u64) -> Vec<Freshness> {
         let mut found = Vec::new();
         for member in self.in_order("configuration") {
             let ask = Ask::Configuration { known_revision };
-            if let Ok(Answer::Configuration(freshness)) =
-                self.ask(&member, ask, QUICK_TIMEOUT_MS).await
+            if let Ok(Answer::Configuration(freshness)) = self
+                .ask(self.group().version, &member, ask, QUICK_TIMEOUT_MS)
+                .await
             {
                 found.push(freshness);
             }
@@ -422,7 +437,7 @@
     }
 
     /// The charges that a program needs, for a key.
-    pub(crate) fn program_key(customer: &str, program: &str) -> ProgramKey {
+    pub fn program_key(customer: &str, program: &str) -> ProgramKey {
         ProgramKey {
             customer: customer.to_string(),
             program: program.to_string(),
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -26,11 +26,11 @@
 use crate::directory::MetadataStore;
 use crate::edge::call::Admitted;
 use crate::edge::exchange::Outgoing;
-use crate::edge::members::Members;
 use crate::edge::pool::Pool;
 use crate::edge::refusal::Refusal;
 use crate::edge::turn_cache::TurnCache;
 use crate::freshness::Freshness;
+use crate::link::Links;
 use crate::log_queue::LineBudget;
 use crate::metrics::Metrics;
 use crate::protocol::{CallHead, CallProtocol};
@@ -39,6 +39,7 @@
 use crate::settings::NodeSettings;
 
 pub use listen::run;
+pub use members::{FoundChain, Members, NoQuorum};
 
 /// Programs whose last endpoint is remembered. A program lasts a few seconds.
 const MOST_AFFINITIES: usize = 4_096;
@@ -95,7 +96,7 @@
             freshness: RefCell::default(),
             balancer: RefCell::new(Balancer::new(&zone)),
             pool: RefCell::default(),
-            members: Rc::new(Members::new(&zone)),
+            members: Rc::new(Members::new(&zone, Box::<Links>::default())),
             quota: RefCell::default(),
             over_rate_until_ms: RefCell::default(),
             turns: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 };
 pub use events::{EventReader, StreamEvent};
 pub use freshness::Freshness;
+pub use link::{AnswerFuture, LinkError, MemberLinks};
 pub use log_queue::{LineBudget, LogQueue, MOST_WAITING_LINES, batch_lines};
 pub use protocol::{
     BadRequest, CallHead, CallProtocol, EndpointHeaders, EndpointReply, Load, ProgramCall,
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::{SinkExt, StreamExt};
+use futures::future::LocalBoxFuture;
+use futures::{FutureExt, SinkExt, StreamExt};
 use jayreel_ledger::{Answer, Ask, Member, Reply, Request};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -171,6 +172,37 @@
     }
 }
 
+/// An answer that is on its way.
+pub type AnswerFuture = LocalBoxFuture<'static, Result<Answer, LinkError>>;
+
+/// Ways to instances with disks.
+pub trait MemberLinks {
+    /// Asks a question in a version of the group. An asker that counts answers towards one
+    /// decision counts only those of one version.
+    ///
+    /// Fails if no answer came within `timeout_ms`; the question may have been acted on.
+    fn ask(
+        &self,
+        member: &Member,
+        group_version: u64,
+        ask: Ask,
+        timeout_ms: u64,
+    ) -> AnswerFuture;
+}
+
+impl MemberLinks for Links {
+    fn ask(
+        &self,
+        member: &Member,
+        group_version: u64,
+        ask: Ask,
+        timeout_ms: u64,
+    ) -> AnswerFuture {
+        let link = self.to(member);
+        async move { link.ask(group_version, ask, timeout_ms).await }.boxed_local()
+    }
+}
+
 /// Connections to instances with disks, by their names.
 #[derive(Default)]
 pub(crate) struct Links {
--- /dev/null
+++ b/crates/gateway/tests/members.rs
@@ -0,0 +1,264 @@
+//! Decisions of an entry instance while the group changes, against instances with disks
+//! without a network between them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::ready;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use jayreel_gateway::edge::{FoundChain, Members};
+use jayreel_gateway::storage::{ConnectionKey, Effect, Event, Node};
+use jayreel_gateway::{AnswerFuture, LinkError, MemberLinks, now_ms};
+use jayreel_ledger::{
+    Answer, Ask, Decision, Group, Member, ProgramKey, Request, Reservation, TurnRecord,
+};
+use tokio::task::LocalSet;
+
+const WINDOW_MS: u64 = 5_000;
+
+/// How long the slow instance takes for an answer.
+const SLOW: Duration = Duration::from_millis(20);
+
+/// Done to the asker once, when the first question is on its way.
+type Interruption = Box<dyn FnOnce()>;
+
+#[derive(Default)]
+struct Cluster {
+    nodes: RefCell<HashMap<String, Node>>,
+    slow: RefCell<Option<String>>,
+    interruption: RefCell<Option<Interruption>>,
+}
+
+/// Writes are on disk at once.
+fn answer(node: &mut Node, group_version: u64, ask: Ask) -> Option<Answer> {
+    let request = Request {
+        id: 1,
+        group_version,
+        ask,
+    };
+    let connection = ConnectionKey::default();
+    let mut effects = node.apply(
+        now_ms(),
+        Event::Asked {
+            connection,
+            request,
+        },
+    );
+    let through = effects.iter().find_map(|effect| match effect {
+        Effect::Append { number, .. } => Some(*number),
+        Effect::Reply { .. } => None,
+    });
+    if let Some(through) = through {
+        effects.extend(node.apply(now_ms(), Event::Synced { through }));
+    }
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Reply { reply, .. } => Some(reply.answer),
+        Effect::Append { .. } => None,
+    })
+}
+
+impl Cluster {
+    fn learn(&self, names: &[&str], group: &Group) {
+        for name in names {
+            let mut nodes = self.nodes.borrow_mut();
+            let node = nodes.get_mut(*name).expect("an instance");
+            node.apply(now_ms(), Event::GroupLearned(group.clone()));
+        }
+    }
+
+    fn keep(&self, names: &[&str], group_version: u64, record: &TurnRecord) {
+        for name in names {
+            let mut nodes = self.nodes.borrow_mut();
+            let node = nodes.get_mut(*name).expect("an instance");
+            let kept = answer(node, group_version, Ask::KeepTurn(record.clone()));
+            assert_eq!(kept, Some(Answer::Done), "{name}");
+        }
+    }
+
+    fn interrupt(&self, interruption: impl FnOnce() + 'static) {
+        *self.interruption.borrow_mut() = Some(Box::new(interruption));
+    }
+
+    /// Members of the group that hold the turn.
+    fn copies(&self, group: &Group, turn: &str) -> usize {
+        let mut nodes = self.nodes.borrow_mut();
+        let members = group.members.iter().filter(|member| {
+            let node = nodes.get_mut(&member.name).expect("an instance");
+            let turn = turn.to_string();
+            let found = answer(node, node.group().version, Ask::Chain { turn });
+            matches!(found, Some(Answer::Chain(turns)) if !turns.is_empty())
+        });
+        members.count()
+    }
+}
+
+struct Direct(Rc<Cluster>);
+
+impl MemberLinks for Direct {
+    fn ask(&self, member: &Member, group_version: u64, ask: Ask, _: u64) -> AnswerFuture {
+        let mut nodes = self.0.nodes.borrow_mut();
+        let node = nodes.get_mut(&member.name).expect("an instance");
+        let reply = answer(node, group_version, ask).ok_or(LinkError::TimedOut);
+        drop(nodes);
+        let interruption = self.0.interruption.borrow_mut().take();
+        if let Some(interruption) = interruption {
+            interruption();
+        }
+        match self.0.slow.borrow().as_ref() == Some(&member.name) {
+            true => tokio::time::sleep(SLOW).map(|()| reply).boxed_local(),
+            false => ready(reply).boxed_local(),
+        }
+    }
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.to_string(),
+        availability_zone: name[..1].to_string(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+    }
+}
+
+/// Two of zone g are members; those that take their places are of zone h.
+fn first_group() -> Group {
+    Group {
+        version: 1,
+        members: ["g1", "g2", "h1", "h2", "k1"].map(member).to_vec(),
+        previous: Vec::new(),
+        tolerated_losses: 2,
+    }
+}
+
+fn last_group() -> Group {
+    first_group()
+        .replace(Some("g1"), Some(member("h3")))
+        .replace(Some("g2"), Some(member("h4")))
+}
+
+/// The group has changed twice while zone g was cut off.
+fn changed_cluster() -> Rc<Cluster> {
+    let cluster = Cluster::default();
+    let names = ["g1", "g2", "h1", "h2", "h3", "h4", "k1"];
+    let nodes = names.map(|name| {
+        let node = Node::new(name, true, now_ms(), WINDOW_MS, &[]);
+        (name.to_string(), node)
+    });
+    cluster.nodes.borrow_mut().extend(nodes);
+    let first = first_group();
+    let second = first.replace(Some("g1"), Some(member("h3")));
+    cluster.learn(&names, &first);
+    cluster.learn(&["h1", "h2", "h3", "h4", "k1"], &second);
+    cluster.learn(&["h1", "h2", "h3", "h4", "k1"], &last_group());
+    Rc::new(cluster)
+}
+
+/// An entry instance of zone g that has not heard of the changes.
+fn entry(cluster: &Rc<Cluster>) -> Rc<Members> {
+    let members = Members::new("g", Box::new(Direct(Rc::clone(cluster))));
+    let members = Rc::new(members);
+    members.adopt(first_group());
+    members
+}
+
+fn record(turn: &str) -> TurnRecord {
+    TurnRecord {
+        turn: turn.to_string(),
+        customer: "customer".to_string(),
+        previous: None,
+        input: Bytes::from_static(b"input"),
+        output: Bytes::from_static(b"output\n"),
+        keep_ms: 60_000,
+    }
+}
+
+/// A member that left and two that stay have no copy, but the latter answer in another version
+/// than the former.
+#[tokio::test(flavor = "current_thread")]
+async fn turn_is_not_missing_by_answers_of_two_versions() {
+    let cluster = changed_cluster();
+    cluster.keep(&["h1", "h3", "h4"], 3, &record("turn"));
+    *cluster.slow.borrow_mut() = Some("h1".to_string());
+    LocalSet::new()
+        .run_until(async {
+            let members = entry(&cluster);
+            tokio::task::yield_now().await;
+            let adopting = Rc::clone(&members);
+            cluster.interrupt(move || adopting.adopt(last_group()));
+            let found = members.chain("turn").await;
+            assert!(
+                matches!(&found, Ok(FoundChain::Turns(turns)) if turns.len() == 1),
+                "{found:?}"
+            );
+        })
+        .await;
+}
+
+/// A copy of a member that left does not count in the group that follows.
+#[tokio::test(flavor = "current_thread")]
+async fn copies_of_a_turn_are_counted_in_one_version() {
+    let cluster = changed_cluster();
+    LocalSet::new()
+        .run_until(async {
+            let members = entry(&cluster);
+            tokio::task::yield_now().await;
+            let adopting = Rc::clone(&members);
+            cluster.interrupt(move || adopting.adopt(last_group()));
+            members.keep_turn(&record("turn")).await.expect("kept");
+            let group = last_group();
+            let copies = cluster.copies(&group, "turn");
+            assert!(copies >= group.copies(), "{copies} copies");
+        })
+        .await;
+}
+
+/// The members answer that the version is closed.
+#[tokio::test(flavor = "current_thread")]
+async fn turn_is_kept_while_the_group_changes() {
+    let cluster = changed_cluster();
+    cluster.learn(&["g1", "g2"], &last_group());
+    LocalSet::new()
+        .run_until(async {
+            let members = entry(&cluster);
+            members.keep_turn(&record("turn")).await.expect("kept");
+            assert_eq!(members.group().version, 3);
+            assert!(cluster.copies(&last_group(), "turn") >= 3);
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn turn_is_admitted_while_the_group_changes() {
+    let cluster = changed_cluster();
+    let reservation = Reservation {
+        program: ProgramKey {
+            customer: "customer".to_string(),
+            program: "program".to_string(),
+        },
+        turn: "turn".to_string(),
+        most_tokens: 100,
+    };
+    LocalSet::new()
+        .run_until(async {
+            let members = entry(&cluster);
+            let decision = members.reserve(&reservation, 1_000).await;
+            assert_eq!(decision, Ok(Decision::Admit));
+        })
+        .await;
+}
+
+/// Nobody has the turn, and the group that says so is the newest.
+#[tokio::test(flavor = "current_thread")]
+async fn turn_that_nobody_holds_is_missing() {
+    let cluster = changed_cluster();
+    LocalSet::new()
+        .run_until(async {
+            let members = entry(&cluster);
+            let found = members.chain("turn").await;
+            assert!(matches!(found, Ok(FoundChain::Missing)), "{found:?}");
+            assert_eq!(members.group().version, 3);
+        })
+        .await;
+}
