gateway: members decide which programs have begun

Small customers' new programs were refused with a fifth of the window used, since a member's bucket held one token of five. Ruled out: the limit itself (customers were refused with 1 to 16 requests in a window that holds 40). The pause for customers over their rate holds only for requests without a program. Removes Book::turn_count, which nothing used.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use jayreel_ledger::{Decision, Reservation, TurnRecord};
+use jayreel_ledger::{Decision, ProgramKey, QuotaWant, Reservation, TurnRecord};
 
 use crate::balance::Pick;
 use crate::clock::now_ms;
@@ -19,7 +19,7 @@
 };
 use crate::edge::body::CallBody;
 use crate::edge::exchange::{Answered, Outgoing, SendTimes, send};
-use crate::edge::members::{FoundChain, Members};
+use crate::edge::members::FoundChain;
 use crate::edge::refusal::{Ran, Refusal};
 use crate::edge::stream::{self, BudgetHold, StreamCall};
 use crate::edge::turn_cache::prompt;
@@ -157,9 +157,15 @@
     check_group(edge, &route, &call, customer.is_some())?;
     let body = read_body(&configuration, body, limit_ms).await?;
     if let Some((name, customer)) = &customer {
-        let quota_use = quota_use(edge, &call);
-        edge.take_quota(name, customer.limit, configuration.version, quota_use)
-            .await?;
+        let program = call.program.as_ref();
+        let want = QuotaWant {
+            customer: (*name).to_string(),
+            program: program.map(|program| program.id.clone()),
+            requests: 1,
+            quota_use: quota_use(edge, &call),
+            limit: customer.limit,
+        };
+        edge.take_quota(want, configuration.version).await?;
     }
     let settings = configuration.services.get(&service);
     let engine = settings.and_then(|service| service.engine);
@@ -377,7 +383,7 @@
     };
     let customer = admitted.outgoing.customer.as_deref().unwrap_or_default();
     let reservation = Reservation {
-        program: Members::program_key(customer, &program.id),
+        program: ProgramKey::new(customer, &program.id),
         turn: admitted.call.request_id.clone(),
         most_tokens: admitted.call.most_tokens.unwrap_or(DEFAULT_MOST_TOKENS),
     };
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -7,8 +7,8 @@
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use jayreel_ledger::{
-    Answer, Ask, Decision, Freshness, Group, Member, Phase, ProgramKey, QuotaWant,
-    Reservation, Settlement, Tally, TurnRecord, turn_digest,
+    Answer, Ask, Decision, Freshness, Group, Member, Phase, QuotaWant, Reservation,
+    Settlement, Tally, TurnRecord, turn_digest,
 };
 
 use crate::clock::now_ms;
@@ -435,12 +435,4 @@
         }
         found
     }
-
-    /// The charges that a program needs, for a key.
-    pub fn program_key(customer: &str, program: &str) -> ProgramKey {
-        ProgramKey {
-            customer: customer.to_string(),
-            program: program.to_string(),
-        }
-    }
 }
--- a/crates/gateway/src/edge/quota.rs
+++ b/crates/gateway/src/edge/quota.rs
@@ -32,39 +32,31 @@
     /// Takes the token of one request.
     pub(crate) async fn take_quota(
         self: &Rc<Self>,
-        customer: &str,
-        limit: RateLimit,
+        want: QuotaWant,
         version: u64,
-        quota_use: QuotaUse,
     ) -> Result<(), Refusal> {
+        let (customer, limit) = (&want.customer, want.limit);
         if limit.rate_per_s <= 0.0 || self.quota.borrow_mut().take(now_ms(), customer) {
             return Ok(());
         }
         let until_ms = self.over_rate_until_ms.borrow().get(customer).copied();
         let is_paused = until_ms.is_some_and(|until_ms| now_ms() < until_ms);
-        if is_paused && quota_use != QuotaUse::GoOn {
+        // Members may know that a program has begun, of which this instance knows nothing.
+        if is_paused && want.program.is_none() {
             return Err(over_rate(limit));
         }
-        self.take_from_members(customer, limit, version, quota_use)
-            .await
+        self.take_from_members(want, version).await
     }
 
     async fn take_from_members(
         self: &Rc<Self>,
-        customer: &str,
-        limit: RateLimit,
+        want: QuotaWant,
         version: u64,
-        quota_use: QuotaUse,
     ) -> Result<(), Refusal> {
         let mut has_answer = false;
-        for member in self.members.in_order(customer) {
-            let want = QuotaWant {
-                customer: customer.to_string(),
-                requests: 1,
-                quota_use,
-                limit,
-            };
-            let granted = self.members.take_quota(&member, version, vec![want]).await;
+        for member in self.members.in_order(&want.customer) {
+            let wants = vec![want.clone()];
+            let granted = self.members.take_quota(&member, version, wants).await;
             let count = granted.and_then(|granted| granted.first().copied());
             has_answer |= count.is_some();
             if count.is_some_and(|count| count > 0) {
@@ -75,8 +67,8 @@
             true => {
                 let until_ms = now_ms() + OVER_RATE_PAUSE_MS;
                 let mut paused = self.over_rate_until_ms.borrow_mut();
-                paused.insert(customer.to_string(), until_ms);
-                Err(over_rate(limit))
+                paused.insert(want.customer, until_ms);
+                Err(over_rate(want.limit))
             }
             false => Err(Refusal::not_now("quota_unreachable", NO_MEMBER_RETRY_MS)),
         }
@@ -92,6 +84,7 @@
                 let limit = configuration.customers.get(&customer)?.limit;
                 Some(QuotaWant {
                     customer,
+                    program: None,
                     requests,
                     quota_use: QuotaUse::Advance,
                     limit,
--- a/crates/gateway/src/storage/answers.rs
+++ b/crates/gateway/src/storage/answers.rs
@@ -1,7 +1,8 @@
 //! What an instance with a disk answers to others.
 
 use jayreel_ledger::{
-    Answer, Ask, Fact, Freshness, QuotaWant, Reply, Request, Reservation,
+    Answer, Ask, Fact, Freshness, ProgramKey, QuotaUse, QuotaWant, Reply, Request,
+    Reservation,
 };
 
 use super::node::{ConnectionKey, Effect, Node, Standing};
@@ -169,9 +170,10 @@
         for want in wants {
             let customer = &want.customer;
             self.rates.learn(now_ms, version, customer, want.limit);
+            let quota_use = self.quota_use(want);
             let count =
                 self.rates
-                    .take(now_ms, customer, want.requests, parts, want.quota_use);
+                    .take(now_ms, customer, want.requests, parts, quota_use);
             granted.push(count);
             if count > 0 {
                 let fact = Fact::Granted {
@@ -186,6 +188,17 @@
         (Answer::Quota(granted), facts)
     }
 
+    /// The turns of a program come through many instances, of which most have not seen it
+    /// before. Its reservations are known to the group.
+    fn quota_use(&self, want: &QuotaWant) -> QuotaUse {
+        let program = want.program.as_deref();
+        let program = program.map(|program| ProgramKey::new(&want.customer, program));
+        match program.is_some_and(|program| self.book.has_begun(&program)) {
+            true => QuotaUse::GoOn,
+            false => want.quota_use,
+        }
+    }
+
     fn share_configuration(&self, now_ms: u64, known_revision: u64) -> Answer {
         match self.freshness.age_ms(now_ms) {
             Some(age_ms) => Answer::Configuration(Freshness {
--- /dev/null
+++ b/crates/gateway/tests/program_load.rs
@@ -0,0 +1,159 @@
+//! A customer above its limit whose programs come through many entry instances.
+//!
+//! The pattern: each request of a program may come through another instance, which has not
+//! seen the program before. If such requests count as beginnings, programs that have begun
+//! are refused like new ones, and hardly any ends.
+
+use jayreel_gateway::storage::{ConnectionKey, Effect, Event, Node};
+use jayreel_ledger::{
+    Answer, Ask, Group, Member, ProgramKey, QuotaUse, QuotaWant, RateLimit, Request,
+    Reservation,
+};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+
+const WINDOW_MS: u64 = 5_000;
+const MEMBERS: [&str; 5] = ["a", "b", "c", "d", "e"];
+const LIMIT: RateLimit = RateLimit {
+    rate_per_s: 30.0,
+    burst: 30.0,
+};
+
+/// Requests of a program, one every 100 ms.
+const REQUESTS: usize = 10;
+
+/// How long the load lasts, in milliseconds.
+const LOAD_MS: u64 = 30_000;
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.to_string(),
+        availability_zone: name.to_string(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+    }
+}
+
+fn members() -> Vec<Node> {
+    let group = Group::first(&MEMBERS.map(member), 2);
+    let nodes = MEMBERS.iter().map(|name| {
+        let mut node = Node::new(name, true, 0, WINDOW_MS, &[]);
+        node.apply(0, Event::GroupLearned(group.clone()));
+        node
+    });
+    nodes.collect()
+}
+
+fn ask(node: &mut Node, now_ms: u64, ask: Ask) -> Vec<Answer> {
+    let request = Request {
+        id: 1,
+        group_version: 1,
+        ask,
+    };
+    let connection = ConnectionKey::default();
+    let asked = Event::Asked {
+        connection,
+        request,
+    };
+    let effects = node.apply(now_ms, asked).into_iter();
+    let answers = effects.filter_map(|effect| match effect {
+        Effect::Reply { reply, .. } => Some(reply.answer),
+        Effect::Append { .. } => None,
+    });
+    answers.collect()
+}
+
+/// Asks the members in turn for the token of one request, as an entry instance does that knows
+/// nothing of the program.
+fn is_granted(members: &mut [Node], now_ms: u64, program: &str) -> bool {
+    let want = QuotaWant {
+        customer: "customer".to_string(),
+        program: Some(program.to_string()),
+        requests: 1,
+        quota_use: QuotaUse::Begin,
+        limit: LIMIT,
+    };
+    members.iter_mut().any(|member| {
+        let wants = vec![want.clone()];
+        let take = Ask::TakeQuota {
+            configuration_version: 1,
+            wants,
+        };
+        ask(member, now_ms, take) == [Answer::Quota(vec![1])]
+    })
+}
+
+fn reserve(members: &mut [Node], now_ms: u64, program: &str) {
+    let reservation = Reservation {
+        program: ProgramKey {
+            customer: "customer".to_string(),
+            program: program.to_string(),
+        },
+        turn: format!("turn of {program}"),
+        most_tokens: 100,
+    };
+    for member in members {
+        ask(member, now_ms, Ask::Reserve(reservation.clone()));
+    }
+}
+
+struct Program {
+    name: String,
+    next_ms: u64,
+    requests: usize,
+}
+
+/// Programs that begin and that end, if one begins every `pause_ms`, and each fails with its
+/// first refusal.
+fn begun_and_ended(pause_ms: u64) -> (usize, usize) {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut members = members();
+    let mut programs: Vec<Program> = Vec::new();
+    let (mut begun, mut ended) = (0, 0);
+    for now_ms in (WINDOW_MS..WINDOW_MS + LOAD_MS).step_by(10) {
+        if now_ms % pause_ms == 0 {
+            programs.push(Program {
+                name: format!("program {now_ms}"),
+                next_ms: now_ms + random.random_range(0..10) * 10,
+                requests: 0,
+            });
+        }
+        programs.shuffle(&mut random);
+        programs.retain_mut(|program| {
+            if program.next_ms > now_ms {
+                return true;
+            }
+            members.shuffle(&mut random);
+            if !is_granted(&mut members, now_ms, &program.name) {
+                return false;
+            }
+            if program.requests == 0 {
+                reserve(&mut members, now_ms, &program.name);
+                begun += 1;
+            }
+            program.next_ms += 100;
+            program.requests += 1;
+            ended += usize::from(program.requests == REQUESTS);
+            program.requests < REQUESTS
+        });
+    }
+    (begun, ended)
+}
+
+/// The customer sends almost seven times its limit.
+#[test]
+fn programs_that_have_begun_are_finished_through_any_instance() {
+    let (begun, ended) = begun_and_ended(50);
+    assert!(ended * 10 > begun * 8, "{ended} of {begun} ended");
+    let possible = 30 * 30 / REQUESTS;
+    assert!(ended * 10 > possible * 8, "{ended} of {possible} possible");
+}
+
+/// The customer sends two thirds of its limit: nothing is refused.
+#[test]
+fn nothing_is_refused_below_the_limit() {
+    let (begun, ended) = begun_and_ended(500);
+    let sent = usize::try_from(LOAD_MS / 500).expect("a count");
+    assert!(begun == sent, "{begun} of {sent} began");
+    assert!(ended + 2 >= begun, "{ended} of {begun} ended");
+}
--- a/crates/gateway/tests/storage.rs
+++ b/crates/gateway/tests/storage.rs
@@ -195,6 +195,7 @@
 fn take(node: &mut Node, now_ms: u64, requests: u32) -> (u32, Vec<Fact>) {
     let want = QuotaWant {
         customer: "customer".to_string(),
+        program: None,
         requests,
         quota_use: QuotaUse::GoOn,
         limit: RateLimit {
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -272,9 +272,9 @@
             .retain(|_, account| account.touched_ms + CHARGES_KEEP_MS > now_ms);
     }
 
-    /// Number of turns held.
-    pub fn turn_count(&self) -> usize {
-        self.turns.len()
+    /// Whether a turn of the program was reserved.
+    pub fn has_begun(&self, program: &ProgramKey) -> bool {
+        self.accounts.contains_key(program)
     }
 }
 
--- a/crates/ledger/src/fact.rs
+++ b/crates/ledger/src/fact.rs
@@ -12,6 +12,16 @@
     pub program: String,
 }
 
+impl ProgramKey {
+    /// The program of this identifier.
+    pub fn new(customer: &str, program: &str) -> ProgramKey {
+        ProgramKey {
+            customer: customer.to_string(),
+            program: program.to_string(),
+        }
+    }
+}
+
 /// A turn may generate up to this many tokens. Written before the turn is sent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Reservation {
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -31,9 +31,12 @@
 pub struct QuotaWant {
     /// Name of the customer.
     pub customer: String,
+    /// Identifier of the program, if the tokens are for a request of one.
+    pub program: Option<String>,
     /// Requests that it wants to admit.
     pub requests: u32,
-    /// What they are for.
+    /// What they are for, as far as the sender knows. A member may know that the program
+    /// has begun.
     pub quota_use: QuotaUse,
     /// The customer's limit as the sender knows it.
     pub limit: RateLimit,
--- a/crates/ledger/src/rate.rs
+++ b/crates/ledger/src/rate.rs
@@ -51,6 +51,11 @@
 /// Smallest capacity of a bucket, in requests: without one whole token none is ever given.
 const LEAST_CAPACITY: f64 = 1.0;
 
+/// While less than this part of the window is used, programs begin whatever the bucket holds:
+/// the buckets of many members are small, and small customers' hold one token. The rest is for
+/// what programs that have begun send; with half, too many begin (`tests/program_load.rs`).
+const UNCONTENDED_PART: f64 = 0.3;
+
 /// Nothing is kept for programs that have begun in this time after a start, in milliseconds:
 /// there are none, or all of them begin anew.
 const NO_KEEPING_MS: u64 = 3_000;
@@ -169,9 +174,16 @@
         let used = f64::from(account.in_window(now_ms, window_ms));
         // Rounded up, which the agreed slack covers: small customers would lose most of it.
         let room = (in_window + limit.burst / parts).ceil() - used;
+        let uncontended = UNCONTENDED_PART * (in_window + limit.burst / parts);
         let free = match quota_use.kept_part().filter(|_| keeps) {
             // A full bucket gives one token whatever it is for.
-            Some(part) => account.tokens - (part * capacity).min(capacity - 1.0),
+            Some(part) => {
+                let in_bucket = account.tokens - (part * capacity).min(capacity - 1.0);
+                match quota_use {
+                    QuotaUse::Begin => in_bucket.max(uncontended - used),
+                    _ => in_bucket,
+                }
+            }
             None if quota_use == QuotaUse::GoOn => room,
             None => account.tokens,
         };
