gateway: endpoints are shared only by members whose view has settled

Ruled out: the entry instance's own reading (it had the end within 0.2 s). Before: the test missing_entry_is_not_shared fails with that entry in the answer.

--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -10,7 +10,7 @@
 use crate::edge::Edge;
 use crate::edge::quota::REFILL_INTERVAL_MS;
 use crate::endpoint_view::{
-    BETWEEN_CHANGES_MS, EndpointFollower, EndpointNews, EndpointView,
+    BETWEEN_CHANGES_MS, EndpointFollower, EndpointNews, EndpointView, WATCH_MS,
 };
 use crate::membership::GROUP_RECORD;
 
@@ -177,7 +177,7 @@
             pause(SHARED_ENDPOINTS_INTERVAL_MS).await;
             continue;
         }
-        match follower.read(&*edge.store).await {
+        match follower.read(&*edge.store, WATCH_MS).await {
             Ok(read) => {
                 let changes = view.take_read(now_ms(), read);
                 let has_changes = !changes.is_empty();
--- a/crates/gateway/src/endpoint_view.rs
+++ b/crates/gateway/src/endpoint_view.rs
@@ -16,17 +16,20 @@
 /// milliseconds; those that are still missing then are gone.
 const MISSING_GRACE_MS: u64 = 2_000;
 
-/// How long one watch waits for changes of endpoints, in milliseconds: a watch that went
-/// silent is noticed while there is time to learn of a leaving endpoint.
-const WATCH_MS: u64 = 2_500;
+/// How long a watch of an entry instance waits for changes, in milliseconds: each is a call.
+pub(crate) const WATCH_MS: u64 = 2_500;
+
+/// How long a watch of a member waits for changes, in milliseconds. Entry instances rely on it,
+/// so that one which went silent must be noticed while a leaving endpoint need not be known.
+pub(crate) const SHARED_WATCH_MS: u64 = 800;
 
 /// Changes that come within this time are taken together, in milliseconds: each watch is a
 /// call, and a leaving endpoint must be known within two seconds.
-pub(crate) const BETWEEN_CHANGES_MS: u64 = 600;
+pub(crate) const BETWEEN_CHANGES_MS: u64 = 500;
 
-/// A view that has not heard from the store for longer is not shared, in milliseconds: a watch
-/// and the pause between two.
-const MOST_SHARED_AGE_MS: u64 = WATCH_MS + BETWEEN_CHANGES_MS + 100;
+/// A view that has not heard from the store for longer is not shared, in milliseconds: a watch,
+/// the pause between two, and the way there and back.
+const MOST_SHARED_AGE_MS: u64 = SHARED_WATCH_MS + BETWEEN_CHANGES_MS + 200;
 
 /// Changes that are kept for instances that ask, more than a release of all endpoints of a
 /// large service makes between two questions.
@@ -70,6 +73,8 @@
     recent: VecDeque<EndpointChange>,
     revision: u64,
     heard_ms: Option<u64>,
+    /// Until then entries may be missing that others know to be there or gone.
+    settled_at_ms: u64,
     entries: BTreeMap<String, EndpointEntry>,
     /// Endpoints of `entries` whose entries went while the store was away, and when that was
     /// noticed.
@@ -99,6 +104,9 @@
                 was_connected,
             } => {
                 self.revision = self.revision.max(snapshot.revision);
+                if !was_connected {
+                    self.settled_at_ms = now_ms + MISSING_GRACE_MS;
+                }
                 self.note_absent(now_ms, &snapshot.entries, was_connected, &mut news);
                 for entry in snapshot.entries {
                     self.apply(EndpointChange::Present(entry), &mut news);
@@ -154,14 +162,15 @@
         self.told_through
     }
 
-    /// What another instance does not know yet, or none if the store has not been heard lately.
+    /// What another instance does not know yet, or none if the store has not been heard lately
+    /// or was lost shortly before.
     pub fn news_since(
         &mut self,
         now_ms: u64,
         known: EndpointCursor,
     ) -> Option<EndpointNews> {
         let heard_ms = self.heard_ms?;
-        if heard_ms + MOST_SHARED_AGE_MS < now_ms {
+        if heard_ms + MOST_SHARED_AGE_MS < now_ms || now_ms < self.settled_at_ms {
             return None;
         }
         self.drop_missing(now_ms);
@@ -256,13 +265,22 @@
 }
 
 impl EndpointFollower {
-    /// The next call lists all endpoints: the store was not followed for a while.
+    /// A follower that knows nothing of the time before: the store may have been away then.
+    pub(crate) fn after_gap() -> EndpointFollower {
+        EndpointFollower {
+            after_revision: None,
+            was_cut_off: true,
+        }
+    }
+
+    /// The next call lists all endpoints: another instance told them until now. It had heard
+    /// from the store so lately that no entry can have lapsed since.
     pub(crate) fn restart(&mut self) {
         self.after_revision = None;
-        self.was_cut_off = true;
+        self.was_cut_off = false;
     }
 
-    /// Lists all endpoints, or waits for changes of them.
+    /// Lists all endpoints, or waits up to `wait_ms` for changes of them.
     ///
     /// # Errors
     ///
@@ -270,10 +288,11 @@
     pub(crate) async fn read(
         &mut self,
         store: &dyn MetadataStore,
+        wait_ms: u64,
     ) -> Result<EndpointRead, MetadataError> {
         let result = match self.after_revision {
             None => self.list(store).await,
-            Some(after) => self.wait_for_changes(store, after).await,
+            Some(after) => self.wait_for_changes(store, after, wait_ms).await,
         };
         if let Err(error) = &result {
             self.after_revision = None;
@@ -304,8 +323,9 @@
         &mut self,
         store: &dyn MetadataStore,
         after: u64,
+        wait_ms: u64,
     ) -> Result<EndpointRead, MetadataError> {
-        let changes = store.endpoint_changes(after, WATCH_MS).await?;
+        let changes = store.endpoint_changes(after, wait_ms).await?;
         self.after_revision = Some(changes.revision.max(after));
         Ok(EndpointRead::Changed(changes))
     }
--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::now_ms;
 use crate::directory::{MetadataError, RetirementState};
-use crate::endpoint_view::{BETWEEN_CHANGES_MS, EndpointFollower};
+use crate::endpoint_view::{BETWEEN_CHANGES_MS, EndpointFollower, SHARED_WATCH_MS};
 use crate::membership::{COPY_DELAY_MS, GROUP_RECORD, MEMBER_RECORDS, Proposal, Watcher};
 use crate::storage::node::{ConfigurationFacts, Event};
 use crate::storage::serve::Storage;
@@ -63,14 +63,14 @@
 /// Entry instances ask members for what these read from the store, so spare instances do not
 /// read it.
 async fn follow_endpoints(storage: Rc<Storage>) {
-    let mut follower = EndpointFollower::default();
+    let mut follower = EndpointFollower::after_gap();
     loop {
         if !storage.node.borrow().is_member() {
-            follower.restart();
+            follower = EndpointFollower::after_gap();
             pause(GROUP_INTERVAL_MS).await;
             continue;
         }
-        match follower.read(&*storage.store).await {
+        match follower.read(&*storage.store, SHARED_WATCH_MS).await {
             Ok(read) => {
                 storage.apply(Event::EndpointsRead(read));
                 pause(BETWEEN_CHANGES_MS).await;
--- a/crates/gateway/tests/endpoint_view.rs
+++ b/crates/gateway/tests/endpoint_view.rs
@@ -66,24 +66,36 @@
     assert_eq!(view.take_read(3_000, changed(3, &[])), [gone("two")]);
 }
 
-/// An instance that asks learns of a missing entry's end, too.
+/// A member was cut off while an endpoint went, and keeps its entry for a while, since it does
+/// not know whether the store was away for all. Others know, and must not hear of it again.
 #[test]
-fn missing_entry_goes_while_the_store_tells_nothing() {
-    let mut view = EndpointView::new(1);
-    view.take_read(0, listed(1, &["one"], true));
-    let known = view.news_since(0, EndpointCursor::default()).expect("news");
-    view.take_read(1_000, listed(2, &[], false));
-    let news = view.news_since(3_000, known.cursor).expect("news");
-    assert_eq!(news.changes, [gone("one")]);
+fn missing_entry_is_not_shared() {
+    let mut cut_off = EndpointView::new(1);
+    cut_off.take_read(0, listed(1, &["one", "two"], true));
+    let mut asker = EndpointView::new(2);
+    asker.take_read(0, listed(1, &["one", "two"], true));
+    asker.take_read(500, changed(2, &[gone("one")]));
+    cut_off.take_read(1_000, listed(2, &["two"], false));
+    for now_ms in (1_000..3_000).step_by(500) {
+        cut_off.take_read(now_ms, changed(2, &[]));
+        assert_eq!(cut_off.news_since(now_ms, asker.told_through()), None);
+    }
+    cut_off.take_read(3_000, changed(2, &[]));
+    let told = cut_off
+        .news_since(3_000, asker.told_through())
+        .expect("news");
+    assert_eq!(asker.take_news(3_000, told), Some(Vec::new()));
 }
 
+/// A leaving endpoint must be known within two seconds, through a member too whose connection
+/// to the store went silent.
 #[test]
 fn view_that_has_not_heard_from_the_store_is_not_shared() {
     let mut view = EndpointView::new(1);
     assert_eq!(view.news_since(0, EndpointCursor::default()), None);
     view.take_read(0, listed(1, &["one"], true));
-    assert!(view.news_since(3_000, EndpointCursor::default()).is_some());
-    assert_eq!(view.news_since(4_000, EndpointCursor::default()), None);
+    assert!(view.news_since(1_000, EndpointCursor::default()).is_some());
+    assert_eq!(view.news_since(2_000, EndpointCursor::default()), None);
 }
 
 /// Another member may lag behind the one that was asked before.
