--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -44,6 +44,22 @@
 /// endpoint that was slow is tried again.
 const SPEED_MEMORY_MS: f64 = 4_000.0;
 
+/// Load that an endpoint which answers only with errors must have less, relative to its slots,
+/// to be preferred. More than a zone's penalty, so that errors of a whole zone are left.
+const ERROR_PENALTY: f64 = 1.0;
+
+/// An error counts with this weight in the part of errors: an instance sends an endpoint few
+/// requests a second, so one must be enough to try others.
+const ERROR_WEIGHT: f64 = 0.5;
+
+/// An answer without an error counts with this weight in the part of errors, less than an
+/// error, since an endpoint may fail some requests only.
+const SUCCESS_WEIGHT: f64 = 0.1;
+
+/// The part of errors fades in this time, in milliseconds: an instance sends a healthy endpoint
+/// a request every few seconds.
+const ERROR_MEMORY_MS: f64 = 5_000.0;
+
 /// Estimated load in multiples of the slots from which an endpoint counts as overloaded: its
 /// queue is three times its slots.
 const OVERLOAD: f64 = 3.5;
@@ -61,6 +77,9 @@
     /// Average time to the first byte over the service's average.
     slowness: f64,
     slowness_ms: u64,
+    /// Part of the answers that were errors, the newest ones counting most. 0 to 1.
+    error_part: f64,
+    error_part_ms: u64,
 }
 
 /// The choice for one send.
@@ -125,6 +144,8 @@
             is_suspended: false,
             slowness: 1.0,
             slowness_ms: 0,
+            error_part: 0.0,
+            error_part_ms: 0,
         });
         self.by_id.insert(id, key);
     }
@@ -185,7 +206,10 @@
         let zone = if is_remote { ZONE_PENALTY } else { 0.0 };
         let cached = if is_known { AFFINITY_BONUS } else { 0.0 };
         let slowness = endpoint.slowness_at(now_ms);
-        load * slowness + (slowness - 1.0) * 0.5 + zone - cached + paused + suspended
+        let errors = ERROR_PENALTY * endpoint.error_part_at(now_ms);
+        load * slowness + (slowness - 1.0) * 0.5 + errors + zone - cached
+            + paused
+            + suspended
     }
 
     /// Whether every endpoint of a service has more work than it can queue.
@@ -254,6 +278,13 @@
         }
     }
 
+    /// The endpoint answered that it failed.
+    pub fn answer_with_error(&mut self, now_ms: u64, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.note_answer(now_ms, true);
+        }
+    }
+
     /// The first byte of an answer came after `elapsed_ms`.
     pub fn succeed(&mut self, now_ms: u64, key: EndpointKey, elapsed_ms: u64) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
@@ -267,6 +298,7 @@
         let slowness = endpoint.slowness_at(now_ms);
         endpoint.slowness = slowness + (relative - slowness) * SPEED_WEIGHT;
         endpoint.slowness_ms = now_ms;
+        endpoint.note_answer(now_ms, false);
         endpoint.failures = 0;
         endpoint.paused_until_ms = 0;
     }
@@ -281,6 +313,20 @@
         (f64::from(self.own) + others) / f64::from(self.entry.slots)
     }
 
+    fn note_answer(&mut self, now_ms: u64, is_error: bool) {
+        let before = self.error_part_at(now_ms);
+        self.error_part = match is_error {
+            true => before + (1.0 - before) * ERROR_WEIGHT,
+            false => before * (1.0 - SUCCESS_WEIGHT),
+        };
+        self.error_part_ms = now_ms;
+    }
+
+    fn error_part_at(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.error_part_ms) as f64;
+        self.error_part * (-age_ms / ERROR_MEMORY_MS).exp()
+    }
+
     fn slowness_at(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.slowness_ms) as f64;
         let weight = (-age_ms / SPEED_MEMORY_MS).exp();
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -220,14 +220,10 @@
         let answered = send(edge, &pick, &admitted.outgoing, None, times).await;
         let outcome = match answered {
             Ok(answered) => match collect(edge, admitted, answered).await {
-                Some((answer, key)) => {
+                Some(answer) => {
                     let is_failure = answer.status().is_server_error();
+                    edge.endpoint_answered(&pick, answer.status(), now_ms() - sent_ms);
                     if !is_failure || !may_try_another(admitted, attempt) {
-                        edge.balancer.borrow_mut().succeed(
-                            now_ms(),
-                            key,
-                            now_ms() - sent_ms,
-                        );
                         edge.note_answer(admitted, &pick, answer.status());
                         return Ok(answer);
                     }
@@ -258,18 +254,17 @@
     edge: &Edge,
     admitted: &Admitted,
     answered: Answered,
-) -> Option<(Response<CallBody>, crate::balance::EndpointKey)> {
+) -> Option<Response<CallBody>> {
     let time_left = Duration::from_millis(admitted.time_left_ms());
     let limited = Limited::new(answered.body, MOST_ANSWER_BYTES);
     let collected = tokio::time::timeout(time_left, limited.collect()).await;
     let content = collected.ok()?.ok()?.to_bytes();
-    let key = answered.lease.key();
     let headers = edge.protocol.caller_headers(&answered.headers);
     answered.lease.finish();
     let mut response = Response::new(CallBody::Whole(Some(content)));
     *response.status_mut() = answered.status;
     *response.headers_mut() = headers;
-    Some((response, key))
+    Some(response)
 }
 
 /// Picks an endpoint, or says why the request is over.
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -129,6 +129,20 @@
             && self.freshness.borrow().admits(now_ms(), revocation_ms)
     }
 
+    /// An endpoint began to answer `elapsed_ms` after the request was sent.
+    pub(crate) fn endpoint_answered(
+        &self,
+        pick: &Pick,
+        status: StatusCode,
+        elapsed_ms: u64,
+    ) {
+        let mut balancer = self.balancer.borrow_mut();
+        match status.is_server_error() {
+            true => balancer.answer_with_error(now_ms(), pick.key),
+            false => balancer.succeed(now_ms(), pick.key, elapsed_ms),
+        }
+    }
+
     /// An endpoint gave no usable answer.
     pub(crate) fn endpoint_failed(
         &self,
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -116,9 +116,8 @@
             let outcome = match answered {
                 Ok(answered) => {
                     let elapsed_ms = now_ms() - sent_ms;
-                    let mut balancer = self.edge.balancer.borrow_mut();
-                    balancer.succeed(now_ms(), pick.key, elapsed_ms);
-                    drop(balancer);
+                    self.edge
+                        .endpoint_answered(&pick, answered.status, elapsed_ms);
                     self.edge
                         .note_answer(&self.admitted, &pick, answered.status);
                     return Ok((answered, pick.id));
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -1,6 +1,6 @@
 //! Which endpoint gets the next request.
 
-use jayreel_gateway::{Balancer, EndpointEntry, Load};
+use jayreel_gateway::{Balancer, EndpointEntry, EndpointKey, Load};
 
 fn entry(id: &str, zone: &str) -> EndpointEntry {
     EndpointEntry {
@@ -132,3 +132,62 @@
     });
     assert!(!balancer.contains(before.key));
 }
+
+/// Sends a request every 5 ms for ten seconds to five endpoints, of which one answers three of
+/// five requests with an error at once and the others take 100 ms. Returns the part of the
+/// requests that get the error.
+fn part_of_errors(entries: &[(&str, &str)], grey: &str) -> f64 {
+    let mut balancer = balancer(entries);
+    let mut running: Vec<(u64, EndpointKey)> = Vec::new();
+    let (mut sent, mut errors) = (0, 0);
+    for now_ms in (0..10_000).step_by(5) {
+        running.retain(|(ends_ms, key)| {
+            let is_running = *ends_ms > now_ms;
+            if !is_running {
+                balancer.end(*key);
+                balancer.succeed(now_ms, *key, 50);
+            }
+            is_running
+        });
+        let pick = balancer.pick(now_ms, "engines", None, &[]).expect("a pick");
+        sent += 1;
+        match pick.id == grey && sent % 5 < 3 {
+            true => {
+                errors += 1;
+                balancer.answer_with_error(now_ms, pick.key);
+            }
+            false => {
+                balancer.begin(pick.key);
+                running.push((now_ms + 100, pick.key));
+            }
+        }
+    }
+    f64::from(errors) / f64::from(sent)
+}
+
+/// An endpoint that fails requests at once is always idle, and looks fast: without a memory of
+/// its errors it gets most of the requests.
+#[test]
+fn endpoint_that_fails_requests_at_once_does_not_attract_them() {
+    let entries = ["one", "two", "three", "four", "grey"].map(|id| (id, "a"));
+    let part = part_of_errors(&entries, "grey");
+    assert!(part < 0.02, "{part}");
+}
+
+/// An error is no reason to leave the zone while others of it have room.
+#[test]
+fn error_leads_to_another_endpoint_of_the_zone() {
+    let mut balancer = balancer(&[("one", "a"), ("two", "a"), ("far", "b")]);
+    let one = balancer.pick(0, "engines", None, &["two".to_string()]);
+    let one = one.expect("one").key;
+    balancer.answer_with_error(0, one);
+    assert_eq!(picked(&balancer, 0), "two");
+    let two = balancer.pick(0, "engines", None, &["one".to_string()]);
+    let two = two.expect("two").key;
+    balancer.answer_with_error(0, two);
+    assert_ne!(picked(&balancer, 0), "far");
+    balancer.answer_with_error(1, one);
+    assert_eq!(picked(&balancer, 1), "two");
+    balancer.begin(two);
+    assert_eq!(picked(&balancer, 60_000), "one");
+}
