Use one piece where two stood; drop what nothing used

Found on reading the whole change once more; behaviour stays as it is. - The rule by which an instance votes, is spare or copies stood in the storage node and again in the exhaustive search: Standing::on_learning in the ledger serves both. - Members were ordered by a digest of their own: membership's rendezvous rank serves both. The order for a key differs from before; nothing relies on which it is. - Two types named Freshness: the one on the wire is SharedConfiguration. - pause() stood in two modules and as sleeps in three more; the two reads of a member's configuration share one; tests of instances with disks share their set-up. - A complete list of endpoints was cloned, and compared pair by pair, to find those that are absent: identifiers in a set do. - The choice of a quota's free tokens is one match. - Unused: Clock, the status of decode_reply, a program call's session, the identifier that a stream's start returned.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -3,6 +3,8 @@
 //! Proofs of freshness and tokens of a rate must not outlive a suspension, which the
 //! monotonic clock leaves out.
 
+use std::time::Duration;
+
 use rustix::time::{ClockId, clock_gettime};
 
 /// Milliseconds since the machine started, suspensions included. Never goes back.
@@ -14,5 +16,7 @@
     seconds * 1_000 + nanoseconds / 1_000_000
 }
 
-/// A source of time, for code that is tested without waiting.
-pub type Clock = fn() -> u64;
+/// Waits for a time in milliseconds.
+pub(crate) async fn pause(time_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(time_ms)).await;
+}
--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -7,7 +7,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use jayreel_ledger::QuotaUse;
+use jayreel_ledger::{QuotaUse, QuotaWant};
 use rand::RngExt;
 
 use crate::clock::now_ms;
@@ -21,15 +21,26 @@
 /// between two reads of it.
 const STALE_RETRY_MS: u64 = 500;
 
-/// Whether the program of a request is known to have begun.
-pub(crate) fn quota_use(edge: &Edge, call: &CallHead) -> QuotaUse {
+/// The token that a request needs.
+pub(crate) fn quota_want(
+    edge: &Edge,
+    call: &CallHead,
+    name: &str,
+    customer: &Customer,
+) -> QuotaWant {
     let program = call.program.as_ref();
     let has_begun = program.is_some_and(|program| {
         call.previous_turn.is_some() || edge.affinity.borrow().contains_key(&program.id)
     });
-    match has_begun {
-        true => QuotaUse::GoOn,
-        false => QuotaUse::Begin,
+    QuotaWant {
+        customer: name.to_string(),
+        program: program.map(|program| program.id.clone()),
+        requests: 1,
+        quota_use: match has_begun {
+            true => QuotaUse::GoOn,
+            false => QuotaUse::Begin,
+        },
+        limit: customer.limit,
     }
 }
 
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -8,13 +8,13 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use jayreel_ledger::{Decision, ProgramKey, QuotaWant, Reservation, TurnRecord};
+use jayreel_ledger::{Decision, ProgramKey, Reservation, TurnRecord};
 
 use crate::balance::Pick;
 use crate::clock::now_ms;
 use crate::config::{CallKind, Route};
 use crate::edge::admission::{
-    check_endpoints, check_group, choose_service, find_customer, find_route, quota_use,
+    check_endpoints, check_group, choose_service, find_customer, find_route, quota_want,
     read_body,
 };
 use crate::edge::body::CallBody;
@@ -157,14 +157,7 @@
     check_group(edge, &route, &call, customer.is_some())?;
     let body = read_body(&configuration, body, limit_ms).await?;
     if let Some((name, customer)) = &customer {
-        let program = call.program.as_ref();
-        let want = QuotaWant {
-            customer: (*name).to_string(),
-            program: program.map(|program| program.id.clone()),
-            requests: 1,
-            quota_use: quota_use(edge, &call),
-            limit: customer.limit,
-        };
+        let want = quota_want(edge, &call, name, customer);
         edge.take_quota(want, configuration.version).await?;
     }
     let settings = configuration.services.get(&service);
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use crate::balance::{EndpointKey, Pick};
-use crate::clock::now_ms;
+use crate::clock::{now_ms, pause};
 use crate::edge::Edge;
 use crate::edge::pool::idle_ms;
 use crate::http_link::{HttpLink, SendError};
@@ -172,7 +172,7 @@
     let (edge, pick) = (Rc::clone(edge), pick.clone());
     tokio::task::spawn_local(async move {
         loop {
-            tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
+            pause(PROBE_INTERVAL_MS).await;
             if !edge.balancer.borrow().contains(pick.key) {
                 return;
             }
@@ -219,7 +219,7 @@
     mut lease: Lease,
 ) -> Result<Answered, Outcome> {
     let (parts, body) = response.into_parts();
-    let reply = edge.protocol.decode_reply(parts.status, &parts.headers);
+    let reply = edge.protocol.decode_reply(&parts.headers);
     if let Some(load) = reply.load {
         let mut balancer = edge.balancer.borrow_mut();
         balancer.report(now_ms(), pick.key, load);
--- a/crates/gateway/src/edge/listen.rs
+++ b/crates/gateway/src/edge/listen.rs
@@ -17,7 +17,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::clock::now_ms;
+use crate::clock::{now_ms, pause};
 use crate::directory::MetadataStore;
 use crate::edge::{Edge, call, sync};
 use crate::http_link::watch_caller;
@@ -81,11 +81,11 @@
     edge.is_stopping.set(true);
     // No connection may be left to tell.
     let _ = stopping.send(true);
-    tokio::time::sleep(Duration::from_millis(STOP_NOTICE_MS)).await;
+    pause(STOP_NOTICE_MS).await;
     accepting.abort();
     let last_ms = began_ms + stop_ms.saturating_sub(STOP_MARGIN_MS);
     while edge.metrics.open_connections() > 0 && now_ms() < last_ms {
-        tokio::time::sleep(Duration::from_millis(STOP_POLL_MS)).await;
+        pause(STOP_POLL_MS).await;
     }
     log::info!("event=stopped calls={}", edge.metrics.open_calls());
     Ok(())
@@ -128,7 +128,7 @@
             },
             Err(error) => {
                 log::warn!("event=accept_failed reason={error}");
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                pause(ACCEPT_PAUSE_MS).await;
             }
         }
     }
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -1,17 +1,18 @@
 //! Questions of an entry instance to the group of instances with disks.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use jayreel_ledger::{
-    Answer, Ask, Decision, EndpointCursor, Endpoints, Freshness, Group, Member, Phase,
-    QuotaWant, Reservation, Settlement, Tally, TurnRecord, turn_digest,
+    Answer, Ask, Decision, EndpointCursor, Group, Member, Phase, QuotaWant, Reservation,
+    Settlement, SharedConfiguration, SharedEndpoints, Tally, TurnRecord,
 };
+use jayreel_membership::rank;
 
-use crate::clock::now_ms;
+use crate::clock::{now_ms, pause};
 use crate::contact::Contact;
 use crate::link::{LinkError, MemberLinks};
 use crate::membership::DECISION_LIMIT_MS;
@@ -121,7 +122,7 @@
         let mut members = self.group().members.clone();
         members.sort_by_cached_key(|member| {
             let is_remote = member.availability_zone != self.availability_zone;
-            (is_remote, turn_digest(&format!("{key}/{}", member.name)))
+            (is_remote, Reverse(rank(&member.name, key)))
         });
         members
     }
@@ -294,7 +295,7 @@
                 return kept;
             }
             if self.group().version == version {
-                tokio::time::sleep(Duration::from_millis(COPY_RETRY_MS)).await;
+                pause(COPY_RETRY_MS).await;
             }
         }
     }
@@ -310,7 +311,7 @@
         };
         let mut pending = FuturesUnordered::new();
         pending.extend(candidates.by_ref().take(copies).map(&ask_next));
-        let hedge = tokio::time::sleep(Duration::from_millis(COPY_HEDGE_MS));
+        let hedge = pause(COPY_HEDGE_MS);
         tokio::pin!(hedge);
         let mut is_hedged = false;
         let mut kept = 0;
@@ -356,7 +357,7 @@
         };
         let mut pending = FuturesUnordered::new();
         pending.extend(candidates.next().map(&ask_next));
-        let hedge = tokio::time::sleep(Duration::from_millis(COPY_HEDGE_MS));
+        let hedge = pause(COPY_HEDGE_MS);
         tokio::pin!(hedge);
         let mut is_hedged = false;
         let mut without = 0;
@@ -411,21 +412,38 @@
     }
 
     /// The configuration and its freshness from the nearest member.
-    pub async fn nearest_configuration(&self, known_revision: u64) -> Option<Freshness> {
+    pub async fn nearest_configuration(
+        &self,
+        known_revision: u64,
+    ) -> Option<SharedConfiguration> {
         let member = self.in_order("configuration").into_iter().next()?;
+        self.configuration_of(&member, known_revision).await
+    }
+
+    /// The configuration and its freshness from all members.
+    pub async fn configuration(&self, known_revision: u64) -> Vec<SharedConfiguration> {
+        let mut found = Vec::new();
+        for member in self.in_order("configuration") {
+            found.extend(self.configuration_of(&member, known_revision).await);
+        }
+        found
+    }
+
+    async fn configuration_of(
+        &self,
+        member: &Member,
+        known_revision: u64,
+    ) -> Option<SharedConfiguration> {
+        let version = self.group().version;
         let ask = Ask::Configuration { known_revision };
-        let group_version = self.group().version;
-        match self
-            .ask(group_version, &member, ask, QUICK_TIMEOUT_MS)
-            .await
-        {
-            Ok(Answer::Configuration(freshness)) => Some(freshness),
+        match self.ask(version, member, ask, QUICK_TIMEOUT_MS).await {
+            Ok(Answer::Configuration(found)) => Some(found),
             _ => None,
         }
     }
 
     /// Changes of endpoints from one of the nearest members.
-    pub async fn endpoints(&self, known: EndpointCursor) -> Option<Endpoints> {
+    pub async fn endpoints(&self, known: EndpointCursor) -> Option<SharedEndpoints> {
         let nearest = self.in_order("endpoints").into_iter().take(SHARING_MEMBERS);
         for member in nearest {
             let version = self.group().version;
@@ -437,19 +455,4 @@
         }
         None
     }
-
-    /// The configuration and its freshness from all members.
-    pub async fn configuration(&self, known_revision: u64) -> Vec<Freshness> {
-        let mut found = Vec::new();
-        for member in self.in_order("configuration") {
-            let ask = Ask::Configuration { known_revision };
-            if let Ok(Answer::Configuration(freshness)) = self
-                .ask(self.group().version, &member, ask, QUICK_TIMEOUT_MS)
-                .await
-            {
-                found.push(freshness);
-            }
-        }
-        found
-    }
 }
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -103,7 +103,7 @@
     }
 
     /// Sends the request to endpoints until one begins to answer.
-    async fn start(&mut self) -> Result<(Answered, String), Refusal> {
+    async fn start(&mut self) -> Result<Answered, Refusal> {
         loop {
             let pick =
                 pick_endpoint(&self.edge, &self.admitted, &self.attempt, &self.tried)?;
@@ -120,7 +120,7 @@
                         .endpoint_answered(&pick, answered.status, elapsed_ms);
                     self.edge
                         .note_answer(&self.admitted, &pick, answered.status);
-                    return Ok((answered, pick.id));
+                    return Ok(answered);
                 }
                 Err(outcome) => outcome,
             };
@@ -204,7 +204,7 @@
 /// Runs a stream. The answer begins with the first event.
 pub(crate) async fn run(mut call: StreamCall) -> Result<Response<CallBody>, Refusal> {
     loop {
-        let (answered, _) = call.start().await?;
+        let answered = call.start().await?;
         let mut run = Run {
             body: answered.body,
             lease: answered.lease,
@@ -333,7 +333,7 @@
         () = sender.closed() => return None,
     };
     match started {
-        Ok((answered, _)) if answered.status.is_success() => Some(Run {
+        Ok(answered) if answered.status.is_success() => Some(Run {
             body: answered.body,
             lease: answered.lease,
             reader: EventReader::default(),
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -1,11 +1,10 @@
 //! What an entry instance reads from the store and from the group, again and again.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use jayreel_ledger::{Endpoints, Freshness, Group};
+use jayreel_ledger::{Group, SharedConfiguration, SharedEndpoints};
 
-use crate::clock::now_ms;
+use crate::clock::{now_ms, pause};
 use crate::directory::{ConfigurationRead, EndpointChange, MetadataError};
 use crate::edge::Edge;
 use crate::edge::quota::REFILL_INTERVAL_MS;
@@ -47,10 +46,6 @@
 /// Pause between two rounds of closing unused connections, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 
-async fn pause(ms: u64) {
-    tokio::time::sleep(Duration::from_millis(ms)).await;
-}
-
 /// Starts all loops.
 pub(crate) fn start(edge: &Rc<Edge>) {
     tokio::task::spawn_local(read_configuration(Rc::clone(edge)));
@@ -119,7 +114,7 @@
 
 impl Edge {
     /// Takes a configuration that a member read. Its age counts from when it was asked for.
-    fn take_shared_configuration(&self, asked_ms: u64, found: Freshness) {
+    fn take_shared_configuration(&self, asked_ms: u64, found: SharedConfiguration) {
         let content = found.content.and_then(|content| {
             let decoded = self.store.decode_configuration(&content);
             match decoded {
@@ -191,7 +186,7 @@
     }
 }
 
-fn decode(told: Endpoints) -> Option<EndpointNews> {
+fn decode(told: SharedEndpoints) -> Option<EndpointNews> {
     match postcard::from_bytes(&told.content) {
         Ok(changes) => Some(EndpointNews {
             cursor: told.cursor,
--- a/crates/gateway/src/endpoint_view.rs
+++ b/crates/gateway/src/endpoint_view.rs
@@ -3,7 +3,7 @@
 //! Instances with disks follow the store and tell entry instances, so that not each of these
 //! needs a call of the store for every change.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use jayreel_ledger::EndpointCursor;
 
@@ -107,7 +107,9 @@
                 if !was_connected {
                     self.settled_at_ms = now_ms + MISSING_GRACE_MS;
                 }
-                self.note_absent(now_ms, &snapshot.entries, was_connected, &mut news);
+                let entries = snapshot.entries.iter();
+                let listed = entries.map(|entry| entry.id.clone()).collect();
+                self.note_absent(now_ms, &listed, was_connected, &mut news);
                 for entry in snapshot.entries {
                     self.apply(EndpointChange::Present(entry), &mut news);
                 }
@@ -138,12 +140,11 @@
         self.told_through = told.cursor;
         let mut news = Vec::new();
         if told.is_complete {
-            let present = told.changes.iter().filter_map(|change| match change {
-                EndpointChange::Present(entry) => Some(entry.clone()),
+            let listed = told.changes.iter().filter_map(|change| match change {
+                EndpointChange::Present(entry) => Some(entry.id.clone()),
                 EndpointChange::Gone(_) => None,
             });
-            let present: Vec<EndpointEntry> = present.collect();
-            self.note_absent(now_ms, &present, true, &mut news);
+            self.note_absent(now_ms, &listed.collect(), true, &mut news);
         }
         for change in told.changes {
             self.apply(change, &mut news);
@@ -224,15 +225,13 @@
     fn note_absent(
         &mut self,
         now_ms: u64,
-        listed: &[EndpointEntry],
+        listed: &HashSet<String>,
         was_connected: bool,
         news: &mut Vec<EndpointChange>,
     ) {
         let known = self.entries.keys();
-        let absent: Vec<String> = known
-            .filter(|id| !listed.iter().any(|entry| entry.id == **id))
-            .cloned()
-            .collect();
+        let absent: Vec<String> =
+            known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in absent {
             match was_connected {
                 true => self.apply(EndpointChange::Gone(id), news),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,7 +30,7 @@
 mod urgency;
 
 pub use balance::{Balancer, EndpointKey, Pick};
-pub use clock::{Clock, now_ms};
+pub use clock::now_ms;
 pub use config::{
     CallKind, Configuration, Customer, Engine, Limits, Route, Service, ServiceShare,
 };
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -29,8 +29,6 @@
 pub struct ProgramCall {
     /// The caller's identifier of the program.
     pub id: String,
-    /// Line of turns within the program.
-    pub session: Option<String>,
     /// Time left until the program should be finished, in milliseconds.
     pub time_left_ms: Option<u64>,
     /// Tokens that all turns of the program may generate.
@@ -107,11 +105,7 @@
     ) -> HeaderMap;
 
     /// Decodes the head of an endpoint's answer.
-    fn decode_reply(
-        &self,
-        status: hyper::StatusCode,
-        headers: &HeaderMap,
-    ) -> EndpointReply;
+    fn decode_reply(&self, headers: &HeaderMap) -> EndpointReply;
 
     /// Headers for the caller: the endpoint's without those that concern its connection.
     fn caller_headers(&self, reply: &HeaderMap) -> HeaderMap;
--- a/crates/gateway/src/storage/answers.rs
+++ b/crates/gateway/src/storage/answers.rs
@@ -1,11 +1,11 @@
 //! What an instance with a disk answers to others.
 
 use jayreel_ledger::{
-    Answer, Ask, EndpointCursor, Endpoints, Fact, Freshness, ProgramKey, QuotaUse,
-    QuotaWant, Reply, Request, Reservation,
+    Answer, Ask, EndpointCursor, Fact, ProgramKey, QuotaUse, QuotaWant, Reply, Request,
+    Reservation, SharedConfiguration, SharedEndpoints, Standing,
 };
 
-use super::node::{ConnectionKey, Effect, Node, Standing};
+use super::node::{ConnectionKey, Effect, Node};
 
 /// Size of a part of a copy of all facts, in bytes.
 const PART_BYTES: usize = 512 << 10;
@@ -28,11 +28,12 @@
             ask,
         } = request;
         let reply = |answer| Reply { id, answer };
+        let at_once = |answer| Effect::Reply {
+            connection: to,
+            reply: reply(answer),
+        };
         if let Some(answer) = self.refusal(group_version, &ask) {
-            return vec![Effect::Reply {
-                connection: to,
-                reply: reply(answer),
-            }];
+            return vec![at_once(answer)];
         }
         match ask {
             Ask::Reserve(reservation) => {
@@ -55,10 +56,7 @@
             }
             Ask::Adopt(group) => {
                 let mut effects = self.learn_group(now_ms, group);
-                effects.push(Effect::Reply {
-                    connection: to,
-                    reply: reply(Answer::Done),
-                });
+                effects.push(at_once(Answer::Done));
                 effects
             }
             Ask::TakeQuota {
@@ -66,19 +64,13 @@
                 wants,
             } if self.is_voting() => {
                 let (answer, facts) = self.grant(now_ms, configuration_version, &wants);
-                let effects = vec![Effect::Reply {
-                    connection: to,
-                    reply: reply(answer),
-                }];
-                match facts.is_empty() {
-                    true => effects,
-                    false => effects.into_iter().chain(self.append(&facts)).collect(),
+                let mut effects = vec![at_once(answer)];
+                if !facts.is_empty() {
+                    effects.extend(self.append(&facts));
                 }
+                effects
             }
-            ask => vec![Effect::Reply {
-                connection: to,
-                reply: reply(self.look_up(now_ms, ask)),
-            }],
+            ask => vec![at_once(self.look_up(now_ms, ask))],
         }
     }
 
@@ -205,7 +197,7 @@
             return Answer::Unavailable;
         };
         match postcard::to_stdvec(&news.changes) {
-            Ok(content) => Answer::Endpoints(Endpoints {
+            Ok(content) => Answer::Endpoints(SharedEndpoints {
                 cursor: news.cursor,
                 revision: news.revision,
                 is_complete: news.is_complete,
@@ -220,7 +212,7 @@
 
     fn share_configuration(&self, now_ms: u64, known_revision: u64) -> Answer {
         match self.freshness.age_ms(now_ms) {
-            Some(age_ms) => Answer::Configuration(Freshness {
+            Some(age_ms) => Answer::Configuration(SharedConfiguration {
                 revision: self.configuration_revision,
                 age_ms,
                 content: (self.configuration_revision > known_revision)
--- a/crates/gateway/src/storage/care.rs
+++ b/crates/gateway/src/storage/care.rs
@@ -3,12 +3,11 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use jayreel_ledger::{Answer, Ask, Group, Member};
 
-use crate::clock::now_ms;
+use crate::clock::{now_ms, pause};
 use crate::directory::{MetadataError, RetirementState};
 use crate::endpoint_view::{BETWEEN_CHANGES_MS, EndpointFollower, SHARED_WATCH_MS};
 use crate::membership::{COPY_DELAY_MS, GROUP_RECORD, MEMBER_RECORDS, Proposal, Watcher};
@@ -41,10 +40,6 @@
 /// Pause between two rounds of forgetting old facts, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
 
-async fn pause(ms: u64) {
-    tokio::time::sleep(Duration::from_millis(ms)).await;
-}
-
 /// Starts all loops.
 pub(crate) fn start(storage: &Rc<Storage>) {
     tokio::task::spawn_local(read_configuration(Rc::clone(storage)));
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use jayreel_ledger::{
-    Book, CatchUp, Fact, Group, Member, RateLimit, RateShare, Reply, Request,
+    Book, Fact, Group, Member, RateLimit, RateShare, Reply, Request, Standing,
     encode_frame, turn_digest,
 };
 use slotmap::new_key_type;
@@ -91,17 +91,6 @@
     },
 }
 
-/// Whether the instance may answer for the group.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum Standing {
-    /// It is no member.
-    Spare,
-    /// It is a member, but lacks facts.
-    CatchingUp(CatchUp),
-    /// It is a member.
-    Voting,
-}
-
 /// An instance with a disk.
 #[derive(Debug)]
 pub struct Node {
@@ -319,17 +308,13 @@
         self.complete_if_done(now_ms)
     }
 
-    /// A member that was complete in the version before stays complete: what others wrote
-    /// since has a quorum without it.
+    /// A founder lacks nothing: there were no facts before it.
     fn standing_in(&self, group: &Group) -> Standing {
-        let was_member = group.previous.iter().any(|member| member.name == self.name);
-        let complete = self.book.complete_version();
         let is_founder = group.previous.is_empty() && self.is_first_start;
-        match group.contains(&self.name) {
-            false => Standing::Spare,
-            true if is_founder || complete == Some(group.version) => Standing::Voting,
-            true if was_member && complete == Some(group.version - 1) => Standing::Voting,
-            true => Standing::CatchingUp(CatchUp::plan(group, &self.name)),
+        let complete = self.book.complete_version();
+        match Standing::on_learning(group, &self.name, complete) {
+            Standing::CatchingUp(_) if is_founder => Standing::Voting,
+            standing => standing,
         }
     }
 
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -1,24 +1,22 @@
 //! Decisions of an entry instance while the group changes, against instances with disks
 //! without a network between them.
 
+mod support;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::ready;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::FutureExt;
 use jayreel_gateway::edge::{FoundChain, Members};
-use jayreel_gateway::storage::{ConnectionKey, Effect, Event, Node};
+use jayreel_gateway::storage::{Event, Node};
 use jayreel_gateway::{AnswerFuture, LinkError, MemberLinks, now_ms};
-use jayreel_ledger::{
-    Answer, Ask, Decision, Group, Member, ProgramKey, Request, Reservation, TurnRecord,
-};
+use jayreel_ledger::{Answer, Ask, Decision, Group, Member, TurnRecord};
+use support::{WINDOW_MS, answers, appended, ask, record, reservation};
 use tokio::task::LocalSet;
 
-const WINDOW_MS: u64 = 5_000;
-
 /// How long the slow instance takes for an answer.
 const SLOW: Duration = Duration::from_millis(20);
 
@@ -33,31 +31,12 @@
 }
 
 /// Writes are on disk at once.
-fn answer(node: &mut Node, group_version: u64, ask: Ask) -> Option<Answer> {
-    let request = Request {
-        id: 1,
-        group_version,
-        ask,
-    };
-    let connection = ConnectionKey::default();
-    let mut effects = node.apply(
-        now_ms(),
-        Event::Asked {
-            connection,
-            request,
-        },
-    );
-    let through = effects.iter().find_map(|effect| match effect {
-        Effect::Append { number, .. } => Some(*number),
-        Effect::Reply { .. } => None,
-    });
-    if let Some(through) = through {
+fn answer(node: &mut Node, group_version: u64, question: Ask) -> Option<Answer> {
+    let mut effects = ask(node, now_ms(), group_version, question);
+    if let Some(through) = appended(&effects) {
         effects.extend(node.apply(now_ms(), Event::Synced { through }));
     }
-    effects.into_iter().find_map(|effect| match effect {
-        Effect::Reply { reply, .. } => Some(reply.answer),
-        Effect::Append { .. } => None,
-    })
+    answers(&effects).into_iter().next()
 }
 
 impl Cluster {
@@ -116,9 +95,8 @@
 
 fn member(name: &str) -> Member {
     Member {
-        name: name.to_string(),
         availability_zone: name[..1].to_string(),
-        address: "127.0.0.1:1".parse().expect("an address"),
+        ..support::member(name)
     }
 }
 
@@ -163,15 +141,15 @@
     members
 }
 
-fn record(turn: &str) -> TurnRecord {
-    TurnRecord {
-        turn: turn.to_string(),
-        customer: "customer".to_string(),
-        previous: None,
-        input: Bytes::from_static(b"input"),
-        output: Bytes::from_static(b"output\n"),
-        keep_ms: 60_000,
-    }
+/// An entry instance that does not know the changes, and hears of the last one while its first
+/// question is on its way.
+async fn interrupted_entry(cluster: &Rc<Cluster>) -> Rc<Members> {
+    let members = entry(cluster);
+    // The group is told to the members before the question that is interrupted.
+    tokio::task::yield_now().await;
+    let adopting = Rc::clone(&members);
+    cluster.interrupt(move || adopting.adopt(last_group()));
+    members
 }
 
 /// A member that left and two that stay have no copy, but the latter answer in another version
@@ -183,10 +161,7 @@
     *cluster.slow.borrow_mut() = Some("h1".to_string());
     LocalSet::new()
         .run_until(async {
-            let members = entry(&cluster);
-            tokio::task::yield_now().await;
-            let adopting = Rc::clone(&members);
-            cluster.interrupt(move || adopting.adopt(last_group()));
+            let members = interrupted_entry(&cluster).await;
             let found = members.chain("turn").await;
             assert!(
                 matches!(&found, Ok(FoundChain::Turns(turns)) if turns.len() == 1),
@@ -202,10 +177,7 @@
     let cluster = changed_cluster();
     LocalSet::new()
         .run_until(async {
-            let members = entry(&cluster);
-            tokio::task::yield_now().await;
-            let adopting = Rc::clone(&members);
-            cluster.interrupt(move || adopting.adopt(last_group()));
+            let members = interrupted_entry(&cluster).await;
             members.keep_turn(&record("turn")).await.expect("kept");
             let group = last_group();
             let copies = cluster.copies(&group, "turn");
@@ -232,14 +204,7 @@
 #[tokio::test(flavor = "current_thread")]
 async fn turn_is_admitted_while_the_group_changes() {
     let cluster = changed_cluster();
-    let reservation = Reservation {
-        program: ProgramKey {
-            customer: "customer".to_string(),
-            program: "program".to_string(),
-        },
-        turn: "turn".to_string(),
-        most_tokens: 100,
-    };
+    let reservation = reservation("program", "turn");
     LocalSet::new()
         .run_until(async {
             let members = entry(&cluster);
--- a/crates/gateway/tests/program_load.rs
+++ b/crates/gateway/tests/program_load.rs
@@ -4,16 +4,15 @@
 //! seen the program before. If such requests count as beginnings, programs that have begun
 //! are refused like new ones, and hardly any ends.
 
-use jayreel_gateway::storage::{ConnectionKey, Effect, Event, Node};
-use jayreel_ledger::{
-    Answer, Ask, Group, Member, ProgramKey, QuotaUse, QuotaWant, RateLimit, Request,
-    Reservation,
-};
+mod support;
+
+use jayreel_gateway::storage::{Event, Node};
+use jayreel_ledger::{Answer, Ask, Group, QuotaUse, QuotaWant, RateLimit};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use support::{WINDOW_MS, answers, ask, member, reservation};
 
-const WINDOW_MS: u64 = 5_000;
 const MEMBERS: [&str; 5] = ["a", "b", "c", "d", "e"];
 const LIMIT: RateLimit = RateLimit {
     rate_per_s: 30.0,
@@ -26,14 +25,6 @@
 /// How long the load lasts, in milliseconds.
 const LOAD_MS: u64 = 30_000;
 
-fn member(name: &str) -> Member {
-    Member {
-        name: name.to_string(),
-        availability_zone: name.to_string(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-    }
-}
-
 fn members() -> Vec<Node> {
     let group = Group::first(&MEMBERS.map(member), 2);
     let nodes = MEMBERS.iter().map(|name| {
@@ -44,25 +35,6 @@
     nodes.collect()
 }
 
-fn ask(node: &mut Node, now_ms: u64, ask: Ask) -> Vec<Answer> {
-    let request = Request {
-        id: 1,
-        group_version: 1,
-        ask,
-    };
-    let connection = ConnectionKey::default();
-    let asked = Event::Asked {
-        connection,
-        request,
-    };
-    let effects = node.apply(now_ms, asked).into_iter();
-    let answers = effects.filter_map(|effect| match effect {
-        Effect::Reply { reply, .. } => Some(reply.answer),
-        Effect::Append { .. } => None,
-    });
-    answers.collect()
-}
-
 /// Asks the members in turn for the token of one request, as an entry instance does that knows
 /// nothing of the program.
 fn is_granted(members: &mut [Node], now_ms: u64, program: &str) -> bool {
@@ -79,21 +51,14 @@
             configuration_version: 1,
             wants,
         };
-        ask(member, now_ms, take) == [Answer::Quota(vec![1])]
+        answers(&ask(member, now_ms, 1, take)) == [Answer::Quota(vec![1])]
     })
 }
 
 fn reserve(members: &mut [Node], now_ms: u64, program: &str) {
-    let reservation = Reservation {
-        program: ProgramKey {
-            customer: "customer".to_string(),
-            program: program.to_string(),
-        },
-        turn: format!("turn of {program}"),
-        most_tokens: 100,
-    };
+    let reservation = reservation(program, &format!("turn of {program}"));
     for member in members {
-        ask(member, now_ms, Ask::Reserve(reservation.clone()));
+        ask(member, now_ms, 1, Ask::Reserve(reservation.clone()));
     }
 }
 
--- a/crates/gateway/tests/storage.rs
+++ b/crates/gateway/tests/storage.rs
@@ -1,21 +1,12 @@
 //! An instance with a disk: when it answers, when it votes, what survives.
 
-use bytes::Bytes;
-use jayreel_gateway::storage::{ConnectionKey, Disk, Effect, Event, Node};
+mod support;
+
+use jayreel_gateway::storage::{Disk, Effect, Event, Node};
 use jayreel_ledger::{
-    Answer, Ask, Fact, Group, Member, ProgramKey, QuotaUse, QuotaWant, RateLimit,
-    Request, Reservation, TurnRecord, decode_frames, encode_frame,
+    Answer, Ask, Fact, Group, QuotaUse, QuotaWant, RateLimit, decode_frames, encode_frame,
 };
-
-const WINDOW_MS: u64 = 5_000;
-
-fn member(name: &str) -> Member {
-    Member {
-        name: name.to_string(),
-        availability_zone: name.to_string(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-    }
-}
+use support::{WINDOW_MS, answers, appended, ask, member, record, reservation};
 
 fn group() -> Group {
     Group::first(&["a", "b", "c"].map(member), 1)
@@ -27,64 +18,11 @@
     node
 }
 
-fn reservation(turn: &str) -> Reservation {
-    Reservation {
-        program: ProgramKey {
-            customer: "customer".to_string(),
-            program: "program".to_string(),
-        },
-        turn: turn.to_string(),
-        most_tokens: 100,
-    }
-}
-
-fn record(turn: &str) -> TurnRecord {
-    TurnRecord {
-        turn: turn.to_string(),
-        customer: "customer".to_string(),
-        previous: None,
-        input: Bytes::from_static(b"input"),
-        output: Bytes::from_static(b"output\n"),
-        keep_ms: 60_000,
-    }
-}
-
-fn ask(node: &mut Node, group_version: u64, ask: Ask) -> Vec<Effect> {
-    let request = Request {
-        id: 1,
-        group_version,
-        ask,
-    };
-    let connection = ConnectionKey::default();
-    node.apply(
-        1,
-        Event::Asked {
-            connection,
-            request,
-        },
-    )
-}
-
-fn answers(effects: &[Effect]) -> Vec<Answer> {
-    let replies = effects.iter().filter_map(|effect| match effect {
-        Effect::Reply { reply, .. } => Some(reply.answer.clone()),
-        Effect::Append { .. } => None,
-    });
-    replies.collect()
-}
-
-fn appended(effects: &[Effect]) -> Option<u64> {
-    effects.iter().find_map(|effect| match effect {
-        Effect::Append { number, .. } => Some(*number),
-        Effect::Reply { .. } => None,
-    })
-}
-
 /// A turn that was told to be kept must survive the loss of power right after.
 #[test]
 fn reply_waits_for_the_disk() {
     let mut node = founder("a");
-    let effects = ask(&mut node, 1, Ask::KeepTurn(record("t")));
+    let effects = ask(&mut node, 1, 1, Ask::KeepTurn(record("t")));
     assert!(answers(&effects).is_empty());
     let number = appended(&effects).expect("the turn is written");
     let effects = node.apply(2, Event::Synced { through: number });
@@ -96,10 +34,10 @@
 #[test]
 fn repeated_question_does_not_wait_for_the_next_write() {
     let mut node = founder("a");
-    let effects = ask(&mut node, 1, Ask::KeepTurn(record("t")));
+    let effects = ask(&mut node, 1, 1, Ask::KeepTurn(record("t")));
     let number = appended(&effects).expect("the turn is written");
     node.apply(2, Event::Synced { through: number });
-    let effects = ask(&mut node, 1, Ask::KeepTurn(record("t")));
+    let effects = ask(&mut node, 1, 1, Ask::KeepTurn(record("t")));
     assert_eq!(answers(&effects), [Answer::Done]);
     assert_eq!(appended(&effects), None);
 }
@@ -107,10 +45,15 @@
 #[test]
 fn charges_list_the_turns_of_a_program() {
     let mut node = founder("a");
-    let effects = ask(&mut node, 1, Ask::Reserve(reservation("t1")));
+    let effects = ask(&mut node, 1, 1, Ask::Reserve(reservation("program", "t1")));
     let number = appended(&effects).expect("the reservation is written");
     node.apply(2, Event::Synced { through: number });
-    let effects = ask(&mut node, 1, Ask::Charges(reservation("t1").program));
+    let effects = ask(
+        &mut node,
+        1,
+        1,
+        Ask::Charges(reservation("program", "t1").program),
+    );
     match &answers(&effects)[..] {
         [Answer::Charges(charges)] => {
             assert_eq!(charges.len(), 1);
@@ -128,7 +71,7 @@
     let next = group().replace(Some("b"), Some(member("d")));
     node.apply(1, Event::GroupLearned(next.clone()));
     assert!(node.is_voting(), "it was complete in the version before");
-    let effects = ask(&mut node, 1, Ask::Reserve(reservation("t")));
+    let effects = ask(&mut node, 1, 1, Ask::Reserve(reservation("program", "t")));
     assert_eq!(answers(&effects), [Answer::Closed(next)]);
 }
 
@@ -139,7 +82,7 @@
     let mut node = founder("a");
     let next = group().replace(Some("b"), Some(member("d")));
     node.apply(1, Event::GroupLearned(next.clone()));
-    let effects = ask(&mut node, 1, Ask::CopyPart { cursor: 0 });
+    let effects = ask(&mut node, 1, 1, Ask::CopyPart { cursor: 0 });
     assert_eq!(answers(&effects), [Answer::Closed(next)]);
 }
 
@@ -150,7 +93,7 @@
     node.apply(0, Event::GroupLearned(group()));
     assert!(!node.is_voting());
     let turn = "t".to_string();
-    let effects = ask(&mut node, 1, Ask::Chain { turn });
+    let effects = ask(&mut node, 1, 1, Ask::Chain { turn });
     assert_eq!(answers(&effects), [Answer::NotVoting]);
     for source in ["b", "c"] {
         assert!(!node.is_voting());
@@ -166,7 +109,7 @@
     }
     assert!(node.is_voting());
     let turn = "t".to_string();
-    let effects = ask(&mut node, 1, Ask::Chain { turn });
+    let effects = ask(&mut node, 1, 1, Ask::Chain { turn });
     assert_eq!(answers(&effects), [Answer::Chain(vec![record("t")])]);
 }
 
@@ -177,7 +120,7 @@
     let facts = [Fact::Complete { group_version: 1 }];
     let mut node = Node::new("a", false, 0, WINDOW_MS, &facts);
     assert!(!node.is_voting());
-    let effects = ask(&mut node, 1, Ask::Adopt(group()));
+    let effects = ask(&mut node, 1, 1, Ask::Adopt(group()));
     assert_eq!(answers(&effects), [Answer::Done]);
     assert!(node.is_voting());
 }
@@ -188,7 +131,7 @@
     let mut node = Node::new("a", false, 0, WINDOW_MS, &[]);
     node.apply(0, Event::GroupLearned(group()));
     let facts = vec![Fact::Complete { group_version: 1 }];
-    ask(&mut node, 1, Ask::KeepFacts(facts));
+    ask(&mut node, 1, 1, Ask::KeepFacts(facts));
     assert!(!node.has_voted());
 }
 
@@ -203,22 +146,11 @@
             burst: 30.0,
         },
     };
-    let request = Request {
-        id: 1,
-        group_version: 1,
-        ask: Ask::TakeQuota {
-            configuration_version: 1,
-            wants: vec![want],
-        },
+    let take = Ask::TakeQuota {
+        configuration_version: 1,
+        wants: vec![want],
     };
-    let connection = ConnectionKey::default();
-    let effects = node.apply(
-        now_ms,
-        Event::Asked {
-            connection,
-            request,
-        },
-    );
+    let effects = ask(node, now_ms, 1, take);
     let facts = effects.iter().flat_map(|effect| match effect {
         Effect::Append { frames, .. } => decode_frames(frames).0,
         Effect::Reply { .. } => Vec::new(),
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -101,6 +101,40 @@
     members / 2 + 1
 }
 
+/// Whether an instance may answer for a group.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Standing {
+    /// It is no member.
+    Spare,
+    /// It is a member, but lacks facts.
+    CatchingUp(CatchUp),
+    /// It is a member.
+    Voting,
+}
+
+impl Standing {
+    /// The standing of the instance `name` when it learns a group. `complete_version` is the
+    /// newest version for which its facts were complete.
+    ///
+    /// A member that was complete in the version before stays complete: what others wrote
+    /// since has a quorum without it.
+    pub fn on_learning(
+        group: &Group,
+        name: &str,
+        complete_version: Option<u64>,
+    ) -> Standing {
+        let was_member = group.previous.iter().any(|member| member.name == name);
+        match group.contains(name) {
+            false => Standing::Spare,
+            true if complete_version == Some(group.version) => Standing::Voting,
+            true if was_member && complete_version == Some(group.version - 1) => {
+                Standing::Voting
+            }
+            true => Standing::CatchingUp(CatchUp::plan(group, name)),
+        }
+    }
+}
+
 /// The progress of a member that does not hold all facts yet: its disk is new.
 ///
 /// It copies the facts of a quorum of the other members, since it may have voted in this
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -22,9 +22,10 @@
 pub use fact::{
     ChargeView, Fact, ProgramKey, Reservation, Settlement, TurnRecord, turn_digest,
 };
-pub use group::{CatchUp, Group, Member};
+pub use group::{CatchUp, Group, Member, Standing};
 pub use log::{decode_frames, encode_frame};
 pub use message::{
-    Answer, Ask, EndpointCursor, Endpoints, Freshness, QuotaWant, Reply, Request,
+    Answer, Ask, EndpointCursor, QuotaWant, Reply, Request, SharedConfiguration,
+    SharedEndpoints,
 };
 pub use rate::{QuotaUse, RateLimit, RateShare};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -99,7 +99,7 @@
 
 /// Changes of endpoints.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Endpoints {
+pub struct SharedEndpoints {
     /// Where they end.
     pub cursor: EndpointCursor,
     /// Store revision up to which endpoints are known.
@@ -110,9 +110,9 @@
     pub content: bytes::Bytes,
 }
 
-/// How recently an instance has proof that its configuration was the newest.
+/// A configuration, and how recently an instance has proof that it was the newest.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Freshness {
+pub struct SharedConfiguration {
     /// Revision of the configuration.
     pub revision: u64,
     /// Age of the proof when the answer was sent, in milliseconds.
@@ -149,9 +149,9 @@
         group_version: u64,
     },
     /// The configuration and its age.
-    Configuration(Freshness),
+    Configuration(SharedConfiguration),
     /// Changes of endpoints.
-    Endpoints(Endpoints),
+    Endpoints(SharedEndpoints),
     /// The sender's version is closed. This is the newest group.
     Closed(Group),
     /// The instance does not vote (yet): its disk is new, or it is no member.
--- a/crates/ledger/src/rate.rs
+++ b/crates/ledger/src/rate.rs
@@ -36,17 +36,11 @@
     Advance,
 }
 
-impl QuotaUse {
-    /// Part of the bucket that must stay, so that programs which have begun go on. None if
-    /// only the window counts.
-    fn kept_part(self) -> Option<f64> {
-        match self {
-            QuotaUse::GoOn => None,
-            QuotaUse::Begin => Some(0.5),
-            QuotaUse::Advance => Some(0.7),
-        }
-    }
-}
+/// Part of the bucket that new programs leave, so that programs which have begun go on.
+const BEGIN_KEPT_PART: f64 = 0.5;
+
+/// Part of the bucket that tokens in advance leave, more than new programs, which are there.
+const ADVANCE_KEPT_PART: f64 = 0.7;
 
 /// Smallest capacity of a bucket, in requests: without one whole token none is ever given.
 const LEAST_CAPACITY: f64 = 1.0;
@@ -174,18 +168,15 @@
         let used = f64::from(account.in_window(now_ms, window_ms));
         // Rounded up, which the agreed slack covers: small customers would lose most of it.
         let room = (in_window + limit.burst / parts).ceil() - used;
+        // A full bucket gives one token whatever it is for.
+        let in_bucket =
+            |kept_part: f64| account.tokens - (kept_part * capacity).min(capacity - 1.0);
         let uncontended = UNCONTENDED_PART * (in_window + limit.burst / parts);
-        let free = match quota_use.kept_part().filter(|_| keeps) {
-            // A full bucket gives one token whatever it is for.
-            Some(part) => {
-                let in_bucket = account.tokens - (part * capacity).min(capacity - 1.0);
-                match quota_use {
-                    QuotaUse::Begin => in_bucket.max(uncontended - used),
-                    _ => in_bucket,
-                }
-            }
-            None if quota_use == QuotaUse::GoOn => room,
-            None => account.tokens,
+        let free = match quota_use {
+            QuotaUse::GoOn => room,
+            _ if !keeps => account.tokens,
+            QuotaUse::Begin => in_bucket(BEGIN_KEPT_PART).max(uncontended - used),
+            QuotaUse::Advance => in_bucket(ADVANCE_KEPT_PART),
         };
         let granted = free.min(room).max(0.0).floor().min(f64::from(requests));
         account.tokens = (account.tokens - granted).max(-in_window);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,4 +14,4 @@
 pub use crate::liveness::Liveness;
 pub use crate::membership::Membership;
 pub use crate::registrations::Registrations;
-pub use crate::rendezvous::responsible_for;
+pub use crate::rendezvous::{rank, responsible_for};
--- a/crates/membership/src/rendezvous.rs
+++ b/crates/membership/src/rendezvous.rs
@@ -7,12 +7,15 @@
 ) -> Option<&'a str> {
     names
         .into_iter()
-        .max_by_key(|name| (hash(name, key), *name))
+        .max_by_key(|name| (rank(name, key), *name))
 }
 
+/// The rank of a name for a key, by which all instances order names alike; the highest goes
+/// first. Each key orders them differently.
+///
 /// FNV-1a over both texts, with a finishing step that spreads the last bytes. The same in
 /// every process, unlike the hashers of the standard library.
-fn hash(name: &str, key: &str) -> u64 {
+pub fn rank(name: &str, key: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0000_0100_0000_01b3;
     let bytes = name.bytes().chain([0]).chain(key.bytes());
--- a/crates/spec/src/ledger.rs
+++ b/crates/spec/src/ledger.rs
@@ -1,13 +1,13 @@
 //! Budgets kept by a group of instances with disks: reservations by a quorum, lost disks and
 //! a change of the group.
 //!
-//! The decisions are the product's: `Tally` decides turns, `Group` and `CatchUp` who votes.
+//! The decisions are the product's: `Tally` decides turns, `Group` and `Standing` who votes.
 
 use std::collections::BTreeSet;
 use std::sync::LazyLock;
 
 use jayreel_ledger::{
-    CatchUp, ChargeView, Decision, Group, Member, Phase, Tally, turn_digest,
+    ChargeView, Decision, Group, Member, Phase, Standing, Tally, turn_digest,
 };
 
 use crate::quota_search::Model;
@@ -51,13 +51,6 @@
     pub fault: Option<Fault>,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-enum Standing {
-    Spare,
-    CatchingUp(CatchUp),
-    Voting,
-}
-
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Instance {
     facts: BTreeSet<u8>,
@@ -259,17 +252,11 @@
         if version <= instance.version {
             return;
         }
-        let (group, me) = (group(version), name(at));
-        let was_member = group.previous.iter().any(|member| member.name == me);
         instance.version = version;
-        instance.standing = match group.contains(&me) {
-            false => Standing::Spare,
-            true if instance.complete == Some(version) => Standing::Voting,
-            true if was_member && instance.complete == Some(version - 1) => {
-                Standing::Voting
-            }
-            true if votes_at_once => Standing::Voting,
-            true => Standing::CatchingUp(CatchUp::plan(group, &me)),
+        let learned = Standing::on_learning(group(version), &name(at), instance.complete);
+        instance.standing = match learned {
+            Standing::CatchingUp(_) if votes_at_once => Standing::Voting,
+            standing => standing,
         };
         if instance.standing == Standing::Voting {
             instance.complete = Some(version);
