rates: requests that do not run take no token and are no demand

Cause: a turn beyond its program's budget took a token of its customer's rate before it was refused with 402, and counted as demand for which tokens were taken in advance. Ruled out: an uneven division among members (all are asked before a refusal). Kept, since a request that does not run must not use up a rate.

--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -7,7 +7,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use jayreel_ledger::{QuotaUse, QuotaWant};
+use jayreel_ledger::{QuotaUse, QuotaWant, TurnBudget};
 use rand::RngExt;
 
 use crate::clock::now_ms;
@@ -40,6 +40,12 @@
             true => QuotaUse::GoOn,
             false => QuotaUse::Begin,
         },
+        budget: program.and_then(|program| {
+            Some(TurnBudget {
+                budget_tokens: program.budget_tokens?,
+                most_tokens: call.reserved_tokens(),
+            })
+        }),
         limit: customer.limit,
     }
 }
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -25,6 +25,7 @@
 use crate::edge::turn_cache::prompt;
 use crate::edge::{CallSummary, Edge};
 use crate::protocol::CallHead;
+use crate::quota_stock::StockToken;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
 use crate::urgency::engine_priority;
 
@@ -43,9 +44,6 @@
 /// failed.
 pub(crate) const NO_ENDPOINT_RETRY_MS: u64 = 250;
 
-/// Tokens reserved for a turn that does not tell how many it generates at most.
-const DEFAULT_MOST_TOKENS: u32 = 4_096;
-
 /// Turns and the records of their programs are kept for longer than operators ask, in
 /// milliseconds, since clocks differ and a turn may be used while it runs out.
 const RETENTION_MARGIN_MS: u64 = 60_000;
@@ -67,6 +65,8 @@
     pub arrived_ms: u64,
     /// Time from the arrival within which it must be answered, in milliseconds.
     pub limit_ms: u64,
+    /// The token of its customer's rate, if it was held here.
+    pub token: Option<StockToken>,
     pub event_tokens: u32,
 }
 
@@ -156,10 +156,13 @@
     check_endpoints(edge, &service)?;
     check_group(edge, &route, &call, customer.is_some())?;
     let body = read_body(&configuration, body, limit_ms).await?;
-    if let Some((name, customer)) = &customer {
-        let want = quota_want(edge, &call, name, customer);
-        edge.take_quota(want, configuration.version).await?;
-    }
+    let token = match &customer {
+        Some((name, customer)) => {
+            let want = quota_want(edge, &call, name, customer);
+            edge.take_quota(want, configuration.version).await?
+        }
+        None => None,
+    };
     let settings = configuration.services.get(&service);
     let engine = settings.and_then(|service| service.engine);
     let most_connections = settings.map_or(0, |service| service.max_connections);
@@ -183,6 +186,7 @@
         call,
         arrived_ms,
         limit_ms,
+        token,
         event_tokens: engine.map_or(1, |engine| engine.event_tokens),
     })
 }
@@ -302,8 +306,12 @@
     let input = admitted.outgoing.body.clone();
     let (chain, hold) =
         tokio::join!(assemble(edge, &admitted), reserve(edge, &admitted),);
-    let hold = hold?;
-    admitted.outgoing.body = chain?;
+    let prepared = hold.and_then(|hold| Ok((hold, chain?)));
+    let (hold, prompt) = prepared.inspect_err(|_| {
+        let customer = admitted.outgoing.customer.as_deref().unwrap_or_default();
+        edge.return_token(customer, admitted.token);
+    })?;
+    admitted.outgoing.body = prompt;
     let keep = admitted.route.keeps_turns.then(|| TurnRecord {
         turn: admitted.call.request_id.clone(),
         customer: admitted.outgoing.customer.clone().unwrap_or_default(),
@@ -373,7 +381,7 @@
     let reservation = Reservation {
         program: ProgramKey::new(customer, &program.id),
         turn: admitted.call.request_id.clone(),
-        most_tokens: admitted.call.most_tokens.unwrap_or(DEFAULT_MOST_TOKENS),
+        most_tokens: admitted.call.reserved_tokens(),
     };
     let hold = BudgetHold::new(edge, &reservation);
     match edge.members.reserve(&reservation, budget_tokens).await {
--- a/crates/gateway/src/edge/quota.rs
+++ b/crates/gateway/src/edge/quota.rs
@@ -7,6 +7,7 @@
 use crate::clock::now_ms;
 use crate::edge::Edge;
 use crate::edge::refusal::Refusal;
+use crate::quota_stock::StockToken;
 
 /// Pause between two requests for tokens in advance, in milliseconds.
 pub(crate) const REFILL_INTERVAL_MS: u64 = 150;
@@ -29,15 +30,19 @@
 const NO_MEMBER_RETRY_MS: u64 = 300;
 
 impl Edge {
-    /// Takes the token of one request.
+    /// Takes the token of one request. Returns the one that it took from the stock, if any.
     pub(crate) async fn take_quota(
         self: &Rc<Self>,
         want: QuotaWant,
         version: u64,
-    ) -> Result<(), Refusal> {
+    ) -> Result<Option<StockToken>, Refusal> {
         let (customer, limit) = (&want.customer, want.limit);
-        if limit.rate_per_s <= 0.0 || self.quota.borrow_mut().take(now_ms(), customer) {
-            return Ok(());
+        if limit.rate_per_s <= 0.0 {
+            return Ok(None);
+        }
+        let held = self.quota.borrow_mut().take(now_ms(), customer);
+        if held.is_some() {
+            return Ok(held);
         }
         let until_ms = self.over_rate_until_ms.borrow().get(customer).copied();
         let is_paused = until_ms.is_some_and(|until_ms| now_ms() < until_ms);
@@ -45,7 +50,13 @@
         if is_paused && want.program.is_none() {
             return Err(over_rate(limit));
         }
-        self.take_from_members(want, version).await
+        self.take_from_members(want, version).await.map(|()| None)
+    }
+
+    /// A request that had a token, held here or not, did not run.
+    pub(crate) fn return_token(&self, customer: &str, token: Option<StockToken>) {
+        let mut stock = self.quota.borrow_mut();
+        stock.take_back(now_ms(), customer, token);
     }
 
     async fn take_from_members(
@@ -87,6 +98,7 @@
                     program: None,
                     requests,
                     quota_use: QuotaUse::Advance,
+                    budget: None,
                     limit,
                 })
             })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,7 @@
 pub use protocol::{
     BadRequest, CallHead, CallProtocol, EndpointHeaders, EndpointReply, Load, ProgramCall,
 };
-pub use quota_stock::QuotaStock;
+pub use quota_stock::{QuotaStock, StockToken};
 pub use retry::{Attempt, Outcome, RetryPolicy, Step};
 pub use settings::{Bounds, NodeSettings, ProcessLimits};
 pub use urgency::engine_priority;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -3,6 +3,9 @@
 use hyper::HeaderMap;
 use hyper::http::request::Parts;
 
+/// Tokens reserved for a turn that does not tell how many it generates at most.
+const DEFAULT_MOST_TOKENS: u32 = 4_096;
+
 /// A request's head, decoded.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CallHead {
@@ -24,6 +27,13 @@
     pub previous_turn: Option<String>,
 }
 
+impl CallHead {
+    /// Tokens to reserve for the request.
+    pub fn reserved_tokens(&self) -> u32 {
+        self.most_tokens.unwrap_or(DEFAULT_MOST_TOKENS)
+    }
+}
+
 /// The program to which a request belongs.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ProgramCall {
--- a/crates/gateway/src/quota_stock.rs
+++ b/crates/gateway/src/quota_stock.rs
@@ -13,6 +13,13 @@
 /// that a pause of a customer does not empty its stock.
 const DEMAND_WINDOW_MS: f64 = 1_500.0;
 
+/// A token that a request took from the stock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StockToken {
+    /// When it lapses, in milliseconds.
+    expires_ms: u64,
+}
+
 #[derive(Debug, Default)]
 struct Stock {
     /// Expiry and number of tokens, oldest first. No entry has 0 tokens.
@@ -46,17 +53,26 @@
 
 impl QuotaStock {
     /// A request of a customer arrives and takes a token, if one is held.
-    pub fn take(&mut self, now_ms: u64, customer: &str) -> bool {
+    pub fn take(&mut self, now_ms: u64, customer: &str) -> Option<StockToken> {
         let stock = self.stock(customer);
         stock.note_demand(now_ms, 1.0);
         stock.lapse(now_ms);
-        let Some((expires_ms, count)) = stock.tokens.pop_front() else {
-            return false;
-        };
+        let (expires_ms, count) = stock.tokens.pop_front()?;
         if count > 1 {
             stock.tokens.push_front((expires_ms, count - 1));
         }
-        true
+        Some(StockToken { expires_ms })
+    }
+
+    /// A request did not run, so it was no demand, and the token that it took from the stock
+    /// may serve another one. The token lapses when it would have.
+    pub fn take_back(&mut self, now_ms: u64, customer: &str, token: Option<StockToken>) {
+        let stock = self.stock(customer);
+        stock.note_demand(now_ms, -1.0);
+        stock.demand_per_ms = stock.demand_per_ms.max(0.0);
+        if let Some(token) = token {
+            stock.tokens.push_front((token.expires_ms, 1));
+        }
     }
 
     /// Adds tokens that were asked for at `asked_ms`.
--- a/crates/gateway/src/storage/answers.rs
+++ b/crates/gateway/src/storage/answers.rs
@@ -163,6 +163,10 @@
         for want in wants {
             let customer = &want.customer;
             self.rates.learn(now_ms, version, customer, want.limit);
+            if self.is_budget_spent(want) {
+                granted.push(want.requests);
+                continue;
+            }
             let quota_use = self.quota_use(want);
             let count =
                 self.rates
@@ -181,6 +185,17 @@
         (Answer::Quota(granted), facts)
     }
 
+    /// Whether the turn will not run, because its program has used its budget. It needs no
+    /// token: programs that go on asking would use up the rate of their customer.
+    fn is_budget_spent(&self, want: &QuotaWant) -> bool {
+        let Some((program, budget)) = want.program.as_deref().zip(want.budget) else {
+            return false;
+        };
+        let program = ProgramKey::new(&want.customer, program);
+        let total = self.book.used_tokens(&program) + u64::from(budget.most_tokens);
+        total > budget.budget_tokens
+    }
+
     /// The turns of a program come through many instances, of which most have not seen it
     /// before. Its reservations are known to the group.
     fn quota_use(&self, want: &QuotaWant) -> QuotaUse {
--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -54,8 +54,33 @@
 fn tokens_lapse() {
     let mut stock = QuotaStock::default();
     stock.add(1_000, "c", 2);
-    assert!(stock.take(1_100, "c"));
-    assert!(!stock.take(2_000, "c"), "the second token has lapsed");
+    assert!(stock.take(1_100, "c").is_some());
+    assert_eq!(stock.take(2_000, "c"), None, "the second token has lapsed");
+}
+
+/// A request that is refused after it took a token leaves it to the next one, but the token
+/// lives no longer for that.
+#[test]
+fn returned_token_serves_another_request_until_it_lapses() {
+    let mut stock = QuotaStock::default();
+    stock.add(1_000, "c", 1);
+    let token = stock.take(1_100, "c").expect("a token");
+    stock.take_back(1_100, "c", Some(token));
+    let token = stock.take(1_200, "c").expect("the token again");
+    stock.take_back(1_200, "c", Some(token));
+    assert_eq!(stock.take(2_000, "c"), None, "it has lapsed");
+}
+
+/// Turns beyond a program's budget do not run. Tokens taken in advance for them would lapse,
+/// and the customer's other requests lack them.
+#[test]
+fn requests_that_do_not_run_are_no_demand() {
+    let mut stock = QuotaStock::default();
+    for request in 0..200 {
+        stock.take(request * 10, "endless");
+        stock.take_back(request * 10 + 5, "endless", None);
+    }
+    assert_eq!(stock.wanted(2_000, 250), []);
 }
 
 /// A customer that sends steadily gets its tokens before it needs them; one that sends now
--- a/crates/gateway/tests/program_load.rs
+++ b/crates/gateway/tests/program_load.rs
@@ -7,7 +7,9 @@
 mod support;
 
 use jayreel_gateway::storage::{Event, Node};
-use jayreel_ledger::{Answer, Ask, Group, QuotaUse, QuotaWant, RateLimit};
+use jayreel_ledger::{
+    Answer, Ask, Group, QuotaUse, QuotaWant, RateLimit, Settlement, TurnBudget,
+};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -22,6 +24,9 @@
 /// Requests of a program, one every 100 ms.
 const REQUESTS: usize = 10;
 
+/// Tokens that all turns of a program may generate.
+const BUDGET_TOKENS: u64 = 1_000;
+
 /// How long the load lasts, in milliseconds.
 const LOAD_MS: u64 = 30_000;
 
@@ -43,6 +48,10 @@
         program: Some(program.to_string()),
         requests: 1,
         quota_use: QuotaUse::Begin,
+        budget: Some(TurnBudget {
+            budget_tokens: BUDGET_TOKENS,
+            most_tokens: 100,
+        }),
         limit: LIMIT,
     };
     members.iter_mut().any(|member| {
@@ -71,6 +80,14 @@
 /// Programs that begin and that end, if one begins every `pause_ms`, and each fails with its
 /// first refusal.
 fn begun_and_ended(pause_ms: u64) -> (usize, usize) {
+    begun_and_ended_beside(pause_ms, |_, _| {})
+}
+
+/// The same while `beside` happens every 10 ms.
+fn begun_and_ended_beside(
+    pause_ms: u64,
+    mut beside: impl FnMut(&mut [Node], u64),
+) -> (usize, usize) {
     let mut random = StdRng::seed_from_u64(1);
     let mut members = members();
     let mut programs: Vec<Program> = Vec::new();
@@ -83,6 +100,7 @@
                 requests: 0,
             });
         }
+        beside(&mut members, now_ms);
         programs.shuffle(&mut random);
         programs.retain_mut(|program| {
             if program.next_ms > now_ms {
@@ -122,3 +140,29 @@
     assert!(begun == sent, "{begun} of {sent} began");
     assert!(ended + 2 >= begun, "{ended} of {begun} ended");
 }
+
+/// Seen on trouble-3 of the grown dvcra-council-reports: a program that loops without end sends
+/// turns after its budget is spent. They do not run, but each took a token of its customer,
+/// whose other programs were refused below the limit.
+#[test]
+fn turns_beyond_the_budget_take_nothing_from_other_programs() {
+    let mut used = false;
+    let beside = |members: &mut [Node], now_ms: u64| {
+        for member in members.iter_mut().filter(|_| !used) {
+            let settlement = Settlement {
+                program: reservation("endless", "turn").program,
+                turn: "turn".to_string(),
+                used_tokens: 950,
+            };
+            ask(member, now_ms, 1, Ask::Settle(settlement));
+        }
+        used = true;
+        if now_ms % 20 == 0 {
+            is_granted(members, now_ms, "endless");
+        }
+    };
+    let (begun, ended) = begun_and_ended_beside(500, beside);
+    let sent = usize::try_from(LOAD_MS / 500).expect("a count");
+    assert!(begun == sent, "{begun} of {sent} began");
+    assert!(ended + 2 >= begun, "{ended} of {begun} ended");
+}
--- a/crates/gateway/tests/storage.rs
+++ b/crates/gateway/tests/storage.rs
@@ -140,6 +140,7 @@
         customer: "customer".to_string(),
         program: None,
         requests,
+        budget: None,
         quota_use: QuotaUse::GoOn,
         limit: RateLimit {
             rate_per_s: 30.0,
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -272,6 +272,17 @@
             .retain(|_, account| account.touched_ms + CHARGES_KEEP_MS > now_ms);
     }
 
+    /// Tokens that turns of a program which have ended used, as far as this book knows. Never
+    /// more than what a quorum tallies.
+    pub fn used_tokens(&self, program: &ProgramKey) -> u64 {
+        let account = self.accounts.get(program);
+        let charges = account.into_iter().flat_map(|one| one.charges.values());
+        charges
+            .filter(|charge| charge.is_settled)
+            .map(|charge| u64::from(charge.tokens))
+            .sum()
+    }
+
     /// Whether a turn of the program was reserved.
     pub fn has_begun(&self, program: &ProgramKey) -> bool {
         self.accounts.contains_key(program)
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -38,10 +38,21 @@
     /// What they are for, as far as the sender knows. A member may know that the program
     /// has begun.
     pub quota_use: QuotaUse,
+    /// The budget that the request draws on, if it is a turn with one.
+    pub budget: Option<TurnBudget>,
     /// The customer's limit as the sender knows it.
     pub limit: RateLimit,
 }
 
+/// What a turn needs of the budget of its program.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TurnBudget {
+    /// Tokens that all turns of the program may generate.
+    pub budget_tokens: u64,
+    /// Most tokens that the turn may generate.
+    pub most_tokens: u32,
+}
+
 /// A question.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Ask {
