rates: programs that have begun may use half of the tolerated requests

Cause: customers with small limits (12 requests a second and a burst of 12) reach the end of their window in the middle of a program; requests it has sent are then wasted. The agreement tolerates some requests beyond a limit (the platform's settings say how many), of which rounding used one for each member. What begun programs use beyond the limit is repaid before new ones begin, so the rate on average is the agreed one.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use jayreel_ledger::RateTolerance;
+
 /// Settings of one instance, checked.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
@@ -46,8 +48,8 @@
     pub configuration_ms: u64,
     /// A request that was sent this long after its key was withdrawn does not run.
     pub revocation_ms: u64,
-    /// Customers' rates hold over any span of this length.
-    pub quota_window_ms: u64,
+    /// How customers' rates are judged.
+    pub rate_tolerance: RateTolerance,
     /// A planned stop is over after this time.
     pub stop_ms: u64,
 }
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use jayreel_ledger::{
-    Book, Fact, Group, Member, RateLimit, RateShare, Reply, Request, Standing,
-    encode_frame, turn_digest,
+    Book, Fact, Group, Member, RateLimit, RateShare, RateTolerance, Reply, Request,
+    Standing, encode_frame, turn_digest,
 };
 use slotmap::new_key_type;
 
@@ -120,13 +120,11 @@
 
 impl Node {
     /// An instance with the facts from its disk.
-    ///
-    /// `quota_window_ms` is the window in which customers' rates are agreed.
     pub fn new(
         name: &str,
         is_first_start: bool,
         now_ms: u64,
-        quota_window_ms: u64,
+        tolerance: RateTolerance,
         facts: &[Fact],
     ) -> Node {
         let mut book = Book::default();
@@ -134,7 +132,7 @@
             book.merge(now_ms, fact);
         }
         book.restart(now_ms);
-        let mut rates = RateShare::new(now_ms, quota_window_ms);
+        let mut rates = RateShare::new(now_ms, tolerance);
         for (at_ms, customer, count) in book.grants() {
             rates.restore(at_ms, customer, count);
         }
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -52,7 +52,7 @@
         &settings.name,
         settings.is_first_start,
         now_ms(),
-        settings.bounds.quota_window_ms,
+        settings.bounds.rate_tolerance,
         &facts,
     );
     log::info!(
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -14,7 +14,7 @@
 use jayreel_gateway::storage::{Event, Node};
 use jayreel_gateway::{AnswerFuture, LinkError, MemberLinks, now_ms};
 use jayreel_ledger::{Answer, Ask, Decision, Group, Member, TurnRecord};
-use support::{WINDOW_MS, answers, appended, ask, record, reservation};
+use support::{TOLERANCE, answers, appended, ask, record, reservation};
 use tokio::task::LocalSet;
 
 /// How long the slow instance takes for an answer.
@@ -121,7 +121,7 @@
     let cluster = Cluster::default();
     let names = ["g1", "g2", "h1", "h2", "h3", "h4", "k1"];
     let nodes = names.map(|name| {
-        let node = Node::new(name, true, now_ms(), WINDOW_MS, &[]);
+        let node = Node::new(name, true, now_ms(), TOLERANCE, &[]);
         (name.to_string(), node)
     });
     cluster.nodes.borrow_mut().extend(nodes);
--- a/crates/gateway/tests/program_load.rs
+++ b/crates/gateway/tests/program_load.rs
@@ -13,7 +13,7 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
-use support::{WINDOW_MS, answers, ask, member, reservation};
+use support::{TOLERANCE, WINDOW_MS, answers, ask, member, reservation};
 
 const MEMBERS: [&str; 5] = ["a", "b", "c", "d", "e"];
 const LIMIT: RateLimit = RateLimit {
@@ -33,7 +33,7 @@
 fn members() -> Vec<Node> {
     let group = Group::first(&MEMBERS.map(member), 2);
     let nodes = MEMBERS.iter().map(|name| {
-        let mut node = Node::new(name, true, 0, WINDOW_MS, &[]);
+        let mut node = Node::new(name, true, 0, TOLERANCE, &[]);
         node.apply(0, Event::GroupLearned(group.clone()));
         node
     });
--- a/crates/gateway/tests/storage.rs
+++ b/crates/gateway/tests/storage.rs
@@ -6,14 +6,14 @@
 use jayreel_ledger::{
     Answer, Ask, Fact, Group, QuotaUse, QuotaWant, RateLimit, decode_frames, encode_frame,
 };
-use support::{WINDOW_MS, answers, appended, ask, member, record, reservation};
+use support::{TOLERANCE, answers, appended, ask, member, record, reservation};
 
 fn group() -> Group {
     Group::first(&["a", "b", "c"].map(member), 1)
 }
 
 fn founder(name: &str) -> Node {
-    let mut node = Node::new(name, true, 0, WINDOW_MS, &[]);
+    let mut node = Node::new(name, true, 0, TOLERANCE, &[]);
     node.apply(0, Event::GroupLearned(group()));
     node
 }
@@ -89,7 +89,7 @@
 /// A member whose disk was lost knows neither charges nor turns; it must not say so.
 #[test]
 fn member_with_an_empty_disk_votes_only_after_copying() {
-    let mut node = Node::new("a", false, 0, WINDOW_MS, &[]);
+    let mut node = Node::new("a", false, 0, TOLERANCE, &[]);
     node.apply(0, Event::GroupLearned(group()));
     assert!(!node.is_voting());
     let turn = "t".to_string();
@@ -118,7 +118,7 @@
 #[test]
 fn member_votes_as_soon_as_it_is_told_the_group() {
     let facts = [Fact::Complete { group_version: 1 }];
-    let mut node = Node::new("a", false, 0, WINDOW_MS, &facts);
+    let mut node = Node::new("a", false, 0, TOLERANCE, &facts);
     assert!(!node.is_voting());
     let effects = ask(&mut node, 1, 1, Ask::Adopt(group()));
     assert_eq!(answers(&effects), [Answer::Done]);
@@ -128,7 +128,7 @@
 /// A part of the copy that completeness was claimed for must not come from another log.
 #[test]
 fn mark_of_completeness_is_not_copied() {
-    let mut node = Node::new("a", false, 0, WINDOW_MS, &[]);
+    let mut node = Node::new("a", false, 0, TOLERANCE, &[]);
     node.apply(0, Event::GroupLearned(group()));
     let facts = vec![Fact::Complete { group_version: 1 }];
     ask(&mut node, 1, 1, Ask::KeepFacts(facts));
@@ -172,7 +172,7 @@
     assert_eq!(granted, 60);
     let mut facts = vec![Fact::Complete { group_version: 1 }];
     facts.extend(granted_facts);
-    let mut node = Node::new("a", false, 200, WINDOW_MS, &facts);
+    let mut node = Node::new("a", false, 200, TOLERANCE, &facts);
     node.apply(200, Event::GroupLearned(group()));
     assert_eq!(take(&mut node, 5_199, 500).0, 0);
     assert_eq!(take(&mut node, 5_200, 500).0, 60);
@@ -181,7 +181,7 @@
 /// A member takes the place of another, whose grants nobody knows.
 #[test]
 fn new_member_grants_nothing_for_a_window() {
-    let mut node = Node::new("d", false, 0, WINDOW_MS, &[]);
+    let mut node = Node::new("d", false, 0, TOLERANCE, &[]);
     let first = Group::first(&["a", "b", "c"].map(member), 1);
     let mut next = first.replace(Some("a"), Some(member("d")));
     next.version = 1;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,11 +4,19 @@
 
 use bytes::Bytes;
 use jayreel_gateway::storage::{ConnectionKey, Effect, Event, Node};
-use jayreel_ledger::{Answer, Ask, Member, ProgramKey, Request, Reservation, TurnRecord};
+use jayreel_ledger::{
+    Answer, Ask, Member, ProgramKey, RateTolerance, Request, Reservation, TurnRecord,
+};
 
 /// Window in which customers' rates are agreed.
 pub const WINDOW_MS: u64 = 5_000;
 
+/// How customers' rates are judged.
+pub const TOLERANCE: RateTolerance = RateTolerance {
+    window_ms: WINDOW_MS,
+    slack_requests: 0.0,
+};
+
 /// A member in an availability zone of its own.
 pub fn member(name: &str) -> Member {
     Member {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -28,4 +28,4 @@
     Answer, Ask, EndpointCursor, QuotaWant, Reply, Request, SharedConfiguration,
     SharedEndpoints, TurnBudget,
 };
-pub use rate::{QuotaUse, RateLimit, RateShare};
+pub use rate::{QuotaUse, RateLimit, RateShare, RateTolerance};
--- a/crates/ledger/src/rate.rs
+++ b/crates/ledger/src/rate.rs
@@ -22,6 +22,15 @@
     pub burst: f64,
 }
 
+/// How limits are judged: over any window, and with some requests beyond them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateTolerance {
+    /// Length of the window, in milliseconds.
+    pub window_ms: u64,
+    /// Requests of one customer beyond its limit that are tolerated in a window.
+    pub slack_requests: f64,
+}
+
 /// What tokens are taken for.
 ///
 /// Answers the pattern of a customer that sends several times its limit in programs of many
@@ -42,6 +51,11 @@
 /// Part of the bucket that tokens in advance leave, more than new programs, which are there.
 const ADVANCE_KEPT_PART: f64 = 0.7;
 
+/// Part of the tolerated requests that programs which have begun may use. They are repaid before
+/// new ones begin. The rest is for rounding and for requests that reach an endpoint in a later
+/// window than they were granted in.
+const SLACK_PART: f64 = 0.5;
+
 /// Smallest capacity of a bucket, in requests: without one whole token none is ever given.
 const LEAST_CAPACITY: f64 = 1.0;
 
@@ -79,7 +93,7 @@
 /// The parts of all customers' rates that one member hands out.
 #[derive(Debug)]
 pub struct RateShare {
-    window_ms: u64,
+    tolerance: RateTolerance,
     started_ms: u64,
     /// Nothing is granted before: what was granted in the window is not known.
     blocked_until_ms: u64,
@@ -89,10 +103,10 @@
 }
 
 impl RateShare {
-    /// The share of a member that starts. Limits hold over any `window_ms`.
-    pub fn new(now_ms: u64, window_ms: u64) -> RateShare {
+    /// The share of a member that starts.
+    pub fn new(now_ms: u64, tolerance: RateTolerance) -> RateShare {
         RateShare {
-            window_ms,
+            tolerance,
             started_ms: now_ms,
             blocked_until_ms: 0,
             accounts: HashMap::new(),
@@ -103,12 +117,12 @@
 
     /// The window in which limits hold, in milliseconds.
     pub fn window_ms(&self) -> u64 {
-        self.window_ms
+        self.tolerance.window_ms
     }
 
     /// Grants nothing until all grants before `since_ms` have left the window.
     pub fn block_since(&mut self, since_ms: u64) {
-        let until_ms = since_ms + self.window_ms;
+        let until_ms = since_ms + self.window_ms();
         self.blocked_until_ms = self.blocked_until_ms.max(until_ms);
     }
 
@@ -156,7 +170,8 @@
             return 0;
         }
         let parts = parts.max(1) as f64;
-        let window_ms = self.window_ms;
+        let window_ms = self.window_ms();
+        let slack = (SLACK_PART * self.tolerance.slack_requests / parts).floor();
         let keeps = now_ms >= self.started_ms + NO_KEEPING_MS;
         let rate_per_ms = limit.rate_per_s / 1_000.0 / parts;
         let capacity = (limit.burst / parts).max(LEAST_CAPACITY);
@@ -173,12 +188,16 @@
             |kept_part: f64| account.tokens - (kept_part * capacity).min(capacity - 1.0);
         let uncontended = UNCONTENDED_PART * (in_window + limit.burst / parts);
         let free = match quota_use {
-            QuotaUse::GoOn => room,
+            QuotaUse::GoOn => room + slack,
             _ if !keeps => account.tokens,
             QuotaUse::Begin => in_bucket(BEGIN_KEPT_PART).max(uncontended - used),
             QuotaUse::Advance => in_bucket(ADVANCE_KEPT_PART),
         };
-        let granted = free.min(room).max(0.0).floor().min(f64::from(requests));
+        let granted = free
+            .min(room + slack)
+            .max(0.0)
+            .floor()
+            .min(f64::from(requests));
         account.tokens = (account.tokens - granted).max(-in_window);
         let granted = granted as u32;
         if granted > 0 {
--- a/crates/ledger/tests/rate.rs
+++ b/crates/ledger/tests/rate.rs
@@ -1,10 +1,11 @@
 //! The part of a customer's rate that one member hands out.
 
-use jayreel_ledger::{QuotaUse, RateLimit, RateShare};
+use jayreel_ledger::{QuotaUse, RateLimit, RateShare, RateTolerance};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use test_case::test_case;
 
 const WINDOW_MS: u64 = 5_000;
 const LIMIT: RateLimit = RateLimit {
@@ -16,12 +17,50 @@
 /// Requests beyond the limit that are agreed to be tolerated.
 const SLACK: u32 = 20;
 
+/// Nothing beyond the limit is used on purpose.
+const STRICT: RateTolerance = RateTolerance {
+    window_ms: WINDOW_MS,
+    slack_requests: 0.0,
+};
+const TOLERANT: RateTolerance = RateTolerance {
+    window_ms: WINDOW_MS,
+    slack_requests: SLACK as f64,
+};
+
 fn share_at(now_ms: u64) -> RateShare {
-    let mut share = RateShare::new(now_ms, WINDOW_MS);
+    share_with(now_ms, STRICT)
+}
+
+fn share_with(now_ms: u64, tolerance: RateTolerance) -> RateShare {
+    let mut share = RateShare::new(now_ms, tolerance);
     share.learn(now_ms, 1, "c", LIMIT);
     share
 }
 
+/// A small customer's program needs a few requests more than the window has left. It is
+/// finished, and new ones wait until that is repaid.
+#[test]
+fn program_that_has_begun_may_use_a_part_of_the_slack() {
+    let mut share = share_with(0, TOLERANT);
+    let granted = share.take(10_000, "c", 500, 3, QuotaUse::GoOn);
+    assert_eq!(granted, IN_WINDOW / 3 + SLACK / 6);
+    assert_eq!(share.take(14_900, "c", 1, 3, QuotaUse::Begin), 0);
+}
+
+/// New programs, and requests that have not come yet, get nothing beyond the limit.
+#[test_case(QuotaUse::Begin)]
+#[test_case(QuotaUse::Advance)]
+fn slack_is_for_programs_that_have_begun(quota_use: QuotaUse) {
+    let [strict, tolerant] = [STRICT, TOLERANT].map(|tolerance| {
+        let mut share = share_with(0, tolerance);
+        let steps = (10_000..20_000).step_by(10);
+        steps
+            .map(|now_ms| share.take(now_ms, "c", 1, 3, quota_use))
+            .sum::<u32>()
+    });
+    assert_eq!(strict, tolerant);
+}
+
 /// A program starts many sub-agents at once: the window has room for them.
 #[test]
 fn program_that_has_begun_may_use_the_window() {
@@ -67,7 +106,7 @@
 
 #[test]
 fn grants_before_a_start_count_in_the_window() {
-    let mut share = RateShare::new(10_000, WINDOW_MS);
+    let mut share = RateShare::new(10_000, STRICT);
     share.restore(9_000, "c", 50);
     share.learn(10_000, 1, "c", LIMIT);
     assert_eq!(share.take(10_000, "c", 500, 3, QuotaUse::GoOn), 10);
@@ -138,15 +177,18 @@
     #[test]
     fn never_more_than_the_limit(
         asks in proptest::collection::vec(
-            (0..400_u64, 0..60_u32, 0..3_usize, 0..3_u8, 0..20_u8), 1..200)
+            (0..400_u64, 0..60_u32, 0..3_usize, 0..3_u8, 0..20_u8), 1..200),
+        is_tolerant in proptest::bool::ANY,
     ) {
-        let mut shares: Vec<RateShare> = (0..3).map(|_| share_at(0)).collect();
+        let tolerance = if is_tolerant { TOLERANT } else { STRICT };
+        let mut shares: Vec<RateShare> =
+            (0..3).map(|_| share_with(0, tolerance)).collect();
         let mut now_ms = 20_000;
         let mut grants: Vec<(u64, usize, u32)> = Vec::new();
         for (pause_ms, requests, member, quota_use, restart) in asks {
             now_ms += pause_ms;
             if restart == 0 {
-                let mut fresh = RateShare::new(now_ms, WINDOW_MS);
+                let mut fresh = RateShare::new(now_ms, tolerance);
                 let own = grants.iter().filter(|(_, by, _)| *by == member);
                 own.for_each(|(at_ms, _, count)| fresh.restore(*at_ms, "c", *count));
                 fresh.learn(now_ms, 1, "c", LIMIT);
