gateway: entry instances call the store only while no member tells them

Ruled out: calls for requests (there are none). Change: nothing is read before the group is known, for 3 s at most; the group's record is read only while no quorum answers or a member knows a newer one; failed calls back off to 700 ms, while members, which are asked every 200 ms, do not.

--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -1,6 +1,6 @@
 //! Questions of an entry instance to the group of instances with disks.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::rc::Rc;
 
@@ -73,6 +73,8 @@
     group: RefCell<Rc<Group>>,
     links: Box<dyn MemberLinks>,
     contact: RefCell<Contact>,
+    /// A member knows a newer group than this instance.
+    is_behind: Cell<bool>,
 }
 
 impl Members {
@@ -84,6 +86,7 @@
             group: RefCell::default(),
             links,
             contact: RefCell::default(),
+            is_behind: Cell::new(false),
         }
     }
 
@@ -104,11 +107,19 @@
             group.members.len()
         );
         *self.group.borrow_mut() = Rc::new(group);
+        self.is_behind.set(false);
         for member in &self.group().members {
             self.tell_group(member);
         }
     }
 
+    /// Whether a quorum answers, and no member has told of a newer group.
+    pub fn knows_group(&self, now_ms: u64) -> bool {
+        self.group().version > 0
+            && self.contact().has_quorum(now_ms)
+            && !self.is_behind.get()
+    }
+
     /// Tells a member the newest group.
     fn tell_group(self: &Rc<Self>, member: &Member) {
         let group = self.group();
@@ -173,8 +184,14 @@
                     self.tell_group(member);
                 }
                 Ok(Answer::Status {
-                    is_voting: true, ..
-                }) => voting += 1,
+                    is_voting,
+                    group_version,
+                }) => {
+                    if group_version > group.version {
+                        self.is_behind.set(true);
+                    }
+                    voting += usize::from(is_voting);
+                }
                 _ => {}
             }
             if voting >= group.quorum() {
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -4,6 +4,7 @@
 
 use jayreel_ledger::{Group, SharedConfiguration, SharedEndpoints};
 
+use crate::backoff::Backoff;
 use crate::clock::{now_ms, pause};
 use crate::directory::{ConfigurationRead, EndpointChange, MetadataError};
 use crate::edge::Edge;
@@ -32,8 +33,7 @@
 /// pause between a member's calls a leaving endpoint is known within a second.
 const SHARED_ENDPOINTS_INTERVAL_MS: u64 = 250;
 
-/// Pause between two reads of the group's record, in milliseconds. Members tell of newer
-/// groups as well.
+/// Pause between two looks whether the group's record must be read, in milliseconds.
 const GROUP_INTERVAL_MS: u64 = 2_000;
 
 /// Pause between two reads of the group's record before the first one is there, in
@@ -46,6 +46,14 @@
 /// Pause between two rounds of closing unused connections, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 
+/// At the first start of all, the group is founded only after the instances with disks have
+/// registered. Until then, but no longer than this, in milliseconds, nothing else is read: without
+/// the group nothing can be served.
+const FOUNDING_WAIT_MS: u64 = 3_000;
+
+/// Pause between two looks whether the group is known, in milliseconds.
+const FOUNDING_POLL_MS: u64 = 25;
+
 /// Starts all loops.
 pub(crate) fn start(edge: &Rc<Edge>) {
     tokio::task::spawn_local(read_configuration(Rc::clone(edge)));
@@ -62,6 +70,8 @@
     let bound_ms = edge.settings.bounds.configuration_ms as f64;
     let interval_ms = (bound_ms * READ_PART) as u64;
     let mut is_reachable = true;
+    let mut backoff = Backoff::default();
+    wait_for_group(&edge).await;
     loop {
         let began_ms = now_ms();
         let known = edge.configuration_revision.get();
@@ -72,17 +82,25 @@
                 log::info!("event=store_regained by=member");
                 is_reachable = true;
             }
+            backoff.succeed();
             pause(interval_ms).await;
             continue;
         }
+        if !backoff.is_over(now_ms()) {
+            ask_others(&edge).await;
+            pause(FAILED_READ_PAUSE_MS).await;
+            continue;
+        }
         match edge.store.configuration(known).await {
             Ok(read) => {
                 edge.take_configuration(began_ms, read);
                 note_store(&mut is_reachable, None);
+                backoff.succeed();
                 pause(interval_ms).await;
             }
             Err(error) => {
                 note_store(&mut is_reachable, Some(&error));
+                backoff.fail(now_ms());
                 ask_others(&edge).await;
                 pause(FAILED_READ_PAUSE_MS).await;
             }
@@ -90,6 +108,14 @@
     }
 }
 
+/// Waits until the group is known, or could have been founded.
+async fn wait_for_group(edge: &Edge) {
+    let until_ms = now_ms() + FOUNDING_WAIT_MS;
+    while edge.members.group().version == 0 && now_ms() < until_ms {
+        pause(FOUNDING_POLL_MS).await;
+    }
+}
+
 fn note_store(is_reachable: &mut bool, error: Option<&MetadataError>) {
     match (error, *is_reachable) {
         (Some(error), true) => log::warn!("event=store_lost reason={error:?}"),
@@ -162,6 +188,8 @@
 async fn follow_endpoints(edge: Rc<Edge>) {
     let mut view = EndpointView::default();
     let mut follower = EndpointFollower::default();
+    let mut backoff = Backoff::default();
+    wait_for_group(&edge).await;
     loop {
         let shared = edge.members.endpoints(view.told_through()).await;
         let told = shared.and_then(decode);
@@ -169,19 +197,28 @@
         if let Some(changes) = changes {
             edge.take_endpoints(changes);
             follower.restart();
+            backoff.succeed();
             pause(SHARED_ENDPOINTS_INTERVAL_MS).await;
             continue;
         }
+        if !backoff.is_over(now_ms()) {
+            pause(FAILED_READ_PAUSE_MS).await;
+            continue;
+        }
         match follower.read(&*edge.store, WATCH_MS).await {
             Ok(read) => {
                 let changes = view.take_read(now_ms(), read);
                 let has_changes = !changes.is_empty();
                 edge.take_endpoints(changes);
+                backoff.succeed();
                 if has_changes {
                     pause(BETWEEN_CHANGES_MS).await;
                 }
             }
-            Err(_) => pause(FAILED_READ_PAUSE_MS).await,
+            Err(_) => {
+                backoff.fail(now_ms());
+                pause(FAILED_READ_PAUSE_MS).await;
+            }
         }
     }
 }
@@ -225,8 +262,14 @@
     }
 }
 
+/// Members tell of a newer group whenever they are asked something that needs it, so the record
+/// is read only while the group is not known, does not answer, or is known to have changed.
 async fn read_group(edge: Rc<Edge>) {
     loop {
+        if edge.members.knows_group(now_ms()) {
+            pause(GROUP_INTERVAL_MS).await;
+            continue;
+        }
         match edge.store.own_records(GROUP_RECORD, true).await {
             Ok(records) => {
                 let record = records.iter().find(|record| record.name == GROUP_RECORD);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! holds configuration, endpoints and the group's membership, and [`CallProtocol`], the
 //! headers that callers and endpoints use.
 
+mod backoff;
 mod balance;
 mod clock;
 mod config;
@@ -29,6 +30,7 @@
 pub mod storage;
 mod urgency;
 
+pub use backoff::Backoff;
 pub use balance::{Balancer, EndpointKey, Pick};
 pub use clock::now_ms;
 pub use config::{
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -227,3 +227,20 @@
         })
         .await;
 }
+
+/// Without traffic, an instance hears of a change by its probes: it must read the group's record
+/// then, and need not as long as all members know what it knows.
+#[tokio::test(flavor = "current_thread")]
+async fn group_is_read_again_only_once_it_has_changed() {
+    let cluster = changed_cluster();
+    LocalSet::new()
+        .run_until(async {
+            let members = entry(&cluster);
+            assert!(!members.knows_group(now_ms()), "nobody has answered yet");
+            members.probe().await;
+            assert!(!members.knows_group(now_ms()), "members know a newer one");
+            members.adopt(last_group());
+            assert!(members.knows_group(now_ms()));
+        })
+        .await;
+}
--- a/crates/gateway/tests/program_load.rs
+++ b/crates/gateway/tests/program_load.rs
@@ -157,7 +157,7 @@
             ask(member, now_ms, 1, Ask::Settle(settlement));
         }
         used = true;
-        if now_ms % 20 == 0 {
+        if now_ms.is_multiple_of(20) {
             is_granted(members, now_ms, "endless");
         }
     };
