gateway: Retry-After by who else is cut off, and short after a start

After a kill of all, callers were told 900 ms as well, while members answer within 0.5 s. Ruled out: a longer pause for the balancer's sake (it cannot help while half are away).

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -4,6 +4,11 @@
 //! the group while callers still reach it: every turn waits for a quorum that cannot answer.
 //! Such an instance refuses turns at once and reports that it is not ready, so that callers
 //! are sent elsewhere.
+//!
+//! When they should come back depends on who else is cut off. If the member of the own zone still
+//! answers, the whole zone is, and callers need the time until the balancer sends them to another
+//! one. If no member does, the instance is alone, and the next attempt probably reaches another
+//! instance, so that a pause only costs time.
 
 /// Without an answer of a quorum for this long, in milliseconds, the contact is lost. Several
 /// questions have failed by then; a member that restarts does not take it away.
@@ -21,6 +26,13 @@
 /// connections elsewhere by the second attempt.
 const MOST_RETRY_MS: u64 = 900;
 
+/// Retry-After of an instance that is cut off alone, in milliseconds: enough for a new connection.
+const ALONE_RETRY_MS: u64 = 100;
+
+/// Retry-After of an instance that has not heard from the group since its start, in milliseconds:
+/// a member that was killed at the same time needs about as long to read its disk.
+const START_RETRY_MS: u64 = 250;
+
 /// The last answers of the group.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Contact {
@@ -63,10 +75,14 @@
         member_ms.is_some_and(|member_ms| now_ms < member_ms + LOST_AFTER_MS)
     }
 
-    /// When a caller may come back, in milliseconds. The longer the silence has lasted, the
-    /// longer it will probably last.
-    pub fn retry_ms(&self, now_ms: u64) -> u64 {
-        let silence_ms = self.silence_ms(now_ms).unwrap_or(MOST_RETRY_MS);
-        silence_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS)
+    /// When a caller may come back, in milliseconds. The longer a silence of the quorum has
+    /// lasted, the longer it will probably last. `has_near_member` tells whether the group has a
+    /// member in the own availability zone.
+    pub fn retry_ms(&self, now_ms: u64, has_near_member: bool) -> u64 {
+        match self.silence_ms(now_ms) {
+            None => START_RETRY_MS,
+            Some(_) if has_near_member && !self.has_member(now_ms) => ALONE_RETRY_MS,
+            Some(silence_ms) => silence_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS),
+        }
     }
 }
--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -17,8 +17,8 @@
 use crate::edge::refusal::Refusal;
 use crate::protocol::CallHead;
 
-/// Retry-After while the configuration is missing or too old, in milliseconds: the time
-/// between two reads of it.
+/// Retry-After while the configuration is too old though members answer, in milliseconds: the
+/// store is down for all, probably for longer than a read takes.
 const STALE_RETRY_MS: u64 = 500;
 
 /// The token that a request needs.
@@ -50,6 +50,16 @@
     }
 }
 
+/// The configuration is missing or too old. An instance that has lost the group as well is cut
+/// off, or has just started.
+fn configuration_old(edge: &Edge) -> Refusal {
+    let retry_ms = match edge.members.contact().has_quorum(now_ms()) {
+        true => STALE_RETRY_MS,
+        false => edge.members.retry_ms(),
+    };
+    Refusal::not_now("configuration_old", retry_ms)
+}
+
 /// The route of a request.
 pub(crate) fn find_route<'a>(
     edge: &Edge,
@@ -62,7 +72,7 @@
         None if edge.is_configuration_recent() => {
             Err(Refusal::denied(StatusCode::NOT_FOUND, "no_route"))
         }
-        None => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
+        None => Err(configuration_old(edge)),
     }
 }
 
@@ -81,14 +91,12 @@
     let is_fresh = edge.freshness.borrow().admits(arrived_ms, revocation_ms);
     let key = call.key.as_deref();
     match key.and_then(|key| configuration.customer_of(key)) {
-        _ if !is_fresh => {
-            Err(Refusal::not_now("configuration_old", STALE_RETRY_MS).moving_on())
-        }
+        _ if !is_fresh => Err(configuration_old(edge).moving_on()),
         Some((name, customer)) => Ok(Some((name.to_string(), customer))),
         None if edge.is_configuration_recent() => {
             Err(Refusal::denied(StatusCode::UNAUTHORIZED, "unknown_key"))
         }
-        None => Err(Refusal::not_now("configuration_old", STALE_RETRY_MS)),
+        None => Err(configuration_old(edge)),
     }
 }
 
@@ -134,10 +142,10 @@
     let now_ms = now_ms();
     match (needs_quorum, needs_quota) {
         (true, _) if !contact.has_quorum(now_ms) => {
-            Err(Refusal::not_now("group_lost", contact.retry_ms(now_ms)).moving_on())
+            Err(Refusal::not_now("group_lost", edge.members.retry_ms()).moving_on())
         }
         (false, true) if !contact.has_member(now_ms) => {
-            Err(Refusal::not_now("group_lost", contact.retry_ms(now_ms)).moving_on())
+            Err(Refusal::not_now("group_lost", edge.members.retry_ms()).moving_on())
         }
         _ => Ok(()),
     }
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -159,6 +159,15 @@
         *self.contact.borrow()
     }
 
+    /// When a caller may come back that needs the group, in milliseconds.
+    pub fn retry_ms(&self) -> u64 {
+        let group = self.group();
+        let mut members = group.members.iter();
+        let has_near_member =
+            members.any(|member| member.availability_zone == self.availability_zone);
+        self.contact().retry_ms(now_ms(), has_near_member)
+    }
+
     /// Asks all members whether they vote, if no quorum has answered lately.
     pub async fn probe(self: &Rc<Self>) {
         let silence_ms = self.contact().silence_ms(now_ms());
--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -14,9 +14,9 @@
         "one question that timed out is not enough"
     );
     assert!(!contact.has_quorum(2_000));
-    assert!(contact.retry_ms(2_000) > contact.retry_ms(1_500));
+    assert!(contact.retry_ms(2_000, false) > contact.retry_ms(1_500, false));
     assert!(
-        contact.retry_ms(60_000) <= 1_000,
+        contact.retry_ms(60_000, false) <= 1_000,
         "a third of three seconds"
     );
     assert!(contact.is_ready(1_250));
@@ -26,6 +26,32 @@
     );
 }
 
+/// Seen on scale-2 of the grown hoaphat-pension: more than half of the instances of a zone were cut
+/// off alone, so the balancer went on sending callers to them, who were told to wait 900 ms before
+/// they tried another one.
+#[test]
+fn callers_of_an_instance_that_is_alone_go_elsewhere_at_once() {
+    let mut contact = Contact::default();
+    contact.note_quorum(1_000);
+    assert!(contact.retry_ms(3_000, true) <= 100);
+}
+
+/// The member of the zone answers, so all instances of the zone are cut off.
+#[test]
+fn callers_of_a_zone_that_is_cut_off_wait_for_the_balancer() {
+    let mut contact = Contact::default();
+    contact.note_quorum(1_000);
+    contact.note_member(2_900);
+    assert!(contact.retry_ms(3_000, true) >= 600);
+}
+
+/// After a kill of all processes members answer within half a second; callers were told 900 ms.
+#[test]
+fn callers_of_an_instance_that_starts_come_back_soon() {
+    let contact = Contact::default();
+    assert!((100..=400).contains(&contact.retry_ms(1_000, true)));
+}
+
 #[test]
 fn one_member_is_no_quorum() {
     let mut contact = Contact::default();
