gateway: a zone of which most entry instances are cut off sends its callers elsewhere

With fewer than half in rotation the balancer uses all of a zone, so most attempts of its callers met one that cannot serve.

--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -8,7 +8,7 @@
 use futures::{FutureExt, StreamExt};
 use jayreel_ledger::{
     Answer, Ask, Decision, EndpointCursor, Group, Member, Phase, QuotaWant, Reservation,
-    Settlement, SharedConfiguration, SharedEndpoints, Tally, TurnRecord,
+    Settlement, SharedConfiguration, SharedEndpoints, Tally, TurnRecord, ZonePresence,
 };
 use jayreel_membership::rank;
 
@@ -468,6 +468,22 @@
         }
     }
 
+    /// Tells the first member of the own availability zone that this instance is there. Returns
+    /// how many entry instances of the zone are, or none if no member of the zone answers.
+    pub async fn zone_presence(&self, instance: &str) -> Option<ZonePresence> {
+        let member = self.in_order("presence").into_iter().next();
+        let member =
+            member.filter(|one| one.availability_zone == self.availability_zone)?;
+        let ask = Ask::Presence {
+            instance: instance.to_string(),
+        };
+        let version = self.group().version;
+        match self.ask(version, &member, ask, QUICK_TIMEOUT_MS).await {
+            Ok(Answer::Presence(presence)) => Some(presence),
+            _ => None,
+        }
+    }
+
     /// Changes of endpoints from one of the nearest members.
     pub async fn endpoints(&self, known: EndpointCursor) -> Option<SharedEndpoints> {
         let nearest = self.in_order("endpoints").into_iter().take(SHARING_MEMBERS);
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use jayreel_ledger::{Group, SharedConfiguration, SharedEndpoints};
+use jayreel_ledger::{Group, SharedConfiguration, SharedEndpoints, ZonePresence};
 
 use crate::clock::{now_ms, pause};
 use crate::directory::{ConfigurationRead, EndpointChange, MetadataError};
@@ -12,6 +12,7 @@
     BETWEEN_CHANGES_MS, EndpointFollower, EndpointNews, EndpointView, WATCH_MS,
 };
 use crate::membership::GROUP_RECORD;
+use crate::presence::{PRESENCE_INTERVAL_MS, is_mostly_away};
 
 /// Part of the time in which changes must be in force after which the configuration is read
 /// again. With the age that a member's may have, and a read that fails, this is within it.
@@ -61,6 +62,7 @@
     tokio::task::spawn_local(refill(Rc::clone(edge)));
     tokio::task::spawn_local(probe(Rc::clone(edge)));
     tokio::task::spawn_local(sweep(Rc::clone(edge)));
+    tokio::task::spawn_local(follow_presence(Rc::clone(edge)));
 }
 
 /// Reads the configuration from the nearest member, which reads it from the store for all,
@@ -324,3 +326,18 @@
         pool.sweep(now_ms(), |key| balancer.contains(key));
     }
 }
+
+/// Follows how many entry instances of the zone are there.
+async fn follow_presence(edge: Rc<Edge>) {
+    loop {
+        pause(PRESENCE_INTERVAL_MS).await;
+        let presence = edge.members.zone_presence(&edge.settings.name).await;
+        let is_deserted = presence.is_some_and(is_mostly_away);
+        if is_deserted != edge.is_zone_deserted.replace(is_deserted) {
+            let ZonePresence { known, present } = presence.unwrap_or_default();
+            log::warn!(
+                "event=zone_presence deserted={is_deserted} known={known} present={present}"
+            );
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod log_queue;
 mod membership;
 mod metrics;
+mod presence;
 mod protocol;
 mod quota_stock;
 mod retry;
@@ -46,6 +47,7 @@
 pub use freshness::Freshness;
 pub use link::{AnswerFuture, LinkError, MemberLinks};
 pub use log_queue::{LineBudget, LogQueue, MOST_WAITING_LINES, batch_lines};
+pub use presence::{PRESENCE_INTERVAL_MS, PresenceBook, is_mostly_away};
 pub use protocol::{
     BadRequest, CallHead, CallProtocol, EndpointHeaders, EndpointReply, Load, ProgramCall,
 };
--- a/crates/gateway/src/storage/answers.rs
+++ b/crates/gateway/src/storage/answers.rs
@@ -137,6 +137,9 @@
             Ask::Configuration { known_revision } => {
                 self.share_configuration(now_ms, known_revision)
             }
+            Ask::Presence { instance } => {
+                Answer::Presence(self.presence.hear(now_ms, &instance))
+            }
             Ask::Endpoints { known } => self.share_endpoints(now_ms, known),
             _ => Answer::NotVoting,
         }
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -11,6 +11,7 @@
 
 use crate::endpoint_view::{EndpointRead, EndpointView};
 use crate::freshness::Freshness;
+use crate::presence::PresenceBook;
 
 new_key_type! {
     /// A connection of another instance.
@@ -106,6 +107,7 @@
     pub(super) larger_parts: Option<(u64, usize)>,
     pub(super) freshness: Freshness,
     pub(super) endpoints: EndpointView,
+    pub(super) presence: PresenceBook,
     pub(super) configuration: Bytes,
     /// Store revision of `configuration`. 0 without one.
     pub(super) configuration_revision: u64,
@@ -150,6 +152,7 @@
             larger_parts: None,
             freshness: Freshness::default(),
             endpoints: EndpointView::new(turn_digest(&format!("{name}/{now_ms}"))),
+            presence: PresenceBook::default(),
             configuration: Bytes::new(),
             configuration_revision: 0,
             appended: 0,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -26,6 +26,6 @@
 pub use log::{decode_frames, encode_frame};
 pub use message::{
     Answer, Ask, EndpointCursor, QuotaWant, Reply, Request, SharedConfiguration,
-    SharedEndpoints, TurnBudget,
+    SharedEndpoints, TurnBudget, ZonePresence,
 };
 pub use rate::{QuotaUse, RateLimit, RateShare, RateTolerance};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -92,6 +92,11 @@
         /// Revision that the sender holds. 0 for none.
         known_revision: u64,
     },
+    /// The sender, an entry instance of the member's availability zone, is there.
+    Presence {
+        /// Name of the sender.
+        instance: String,
+    },
     /// Changes of endpoints that the sender does not know.
     Endpoints {
         /// Where the last answer ended.
@@ -108,6 +113,15 @@
     pub sequence: u64,
 }
 
+/// Entry instances of an availability zone, as a member there hears from them.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZonePresence {
+    /// Those that have been there lately.
+    pub known: u32,
+    /// Those of them that are there now.
+    pub present: u32,
+}
+
 /// Changes of endpoints.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SharedEndpoints {
@@ -161,6 +175,8 @@
     },
     /// The configuration and its age.
     Configuration(SharedConfiguration),
+    /// Entry instances of the member's zone.
+    Presence(ZonePresence),
     /// Changes of endpoints.
     Endpoints(SharedEndpoints),
     /// The sender's version is closed. This is the newest group.
