gateway: callers of a zone that is cut off come back when the balancer has acted

Ruled out: the balancer (the zone got almost no new connections from 2.5 s after the cut on). Change: Retry-After is the time until the balancer acts, 100 to 900 ms; once it has, answers close their connections.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -18,16 +18,17 @@
 /// It may be wrong about that, since the balancer acts only on two looks a second apart.
 const UNREADY_AFTER_MS: u64 = 300;
 
-/// Shortest Retry-After without contact, in milliseconds. Callers come back only a few times,
-/// and the balancer needs about two seconds to send them elsewhere.
-const LEAST_RETRY_MS: u64 = 600;
+/// After this time without contact, in milliseconds, the balancer sends new connections
+/// elsewhere: it acts on two looks a second apart.
+const BALANCER_MS: u64 = 2_300;
 
-/// Longest Retry-After without contact, in milliseconds: the balancer has sent new
-/// connections elsewhere by the second attempt.
+/// Longest Retry-After without contact, in milliseconds: with the few attempts that callers have,
+/// the last ones come after the balancer has acted.
 const MOST_RETRY_MS: u64 = 900;
 
-/// Retry-After of an instance that is cut off alone, in milliseconds: enough for a new connection.
-const ALONE_RETRY_MS: u64 = 100;
+/// Retry-After if the next attempt probably reaches another instance, in milliseconds: enough for
+/// a new connection.
+const ELSEWHERE_RETRY_MS: u64 = 100;
 
 /// Retry-After of an instance that has not heard from the group since its start, in milliseconds:
 /// a member that was killed at the same time needs about as long to read its disk.
@@ -75,14 +76,22 @@
         member_ms.is_some_and(|member_ms| now_ms < member_ms + LOST_AFTER_MS)
     }
 
-    /// When a caller may come back, in milliseconds. The longer a silence of the quorum has
-    /// lasted, the longer it will probably last. `has_near_member` tells whether the group has a
-    /// member in the own availability zone.
+    /// Whether the balancer sends new connections elsewhere by now.
+    pub fn is_left_by_balancer(&self, now_ms: u64) -> bool {
+        let silence_ms = self.silence_ms(now_ms);
+        silence_ms.is_some_and(|silence_ms| silence_ms >= BALANCER_MS)
+    }
+
+    /// When a caller may come back, in milliseconds: if the next attempt would reach this zone
+    /// again, once the balancer has acted. `has_near_member` tells whether the group has a member
+    /// in the own availability zone.
     pub fn retry_ms(&self, now_ms: u64, has_near_member: bool) -> u64 {
         match self.silence_ms(now_ms) {
             None => START_RETRY_MS,
-            Some(_) if has_near_member && !self.has_member(now_ms) => ALONE_RETRY_MS,
-            Some(silence_ms) => silence_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS),
+            Some(_) if has_near_member && !self.has_member(now_ms) => ELSEWHERE_RETRY_MS,
+            Some(silence_ms) => BALANCER_MS
+                .saturating_sub(silence_ms)
+                .clamp(ELSEWHERE_RETRY_MS, MOST_RETRY_MS),
         }
     }
 }
--- a/crates/gateway/src/edge/listen.rs
+++ b/crates/gateway/src/edge/listen.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use eyre::{OptionExt, WrapErr};
 use http_body_util::Full;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
@@ -158,7 +159,13 @@
         let edge = Rc::clone(&for_calls);
         async move {
             let _open = edge.metrics.open_call();
-            Ok::<_, Infallible>(call::serve(Rc::clone(&edge), request).await)
+            let mut response = call::serve(Rc::clone(&edge), request).await;
+            // A new connection leads to an instance that will go on serving.
+            if edge.members.contact().is_left_by_balancer(now_ms()) {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
         }
     });
     let connection = http1::Builder::new()
