--- a/crates/core/src/args.rs
+++ b/crates/core/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line, by clap's builder.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use clap::builder::PossibleValuesParser;
@@ -101,6 +102,15 @@
 fn storage() -> Command {
     Command::new("storage")
         .about("Run an instance with a disk on the users' platform")
+        .arg(
+            Arg::new("advertise")
+                .long("advertise")
+                .value_name("ADDRESS")
+                .value_parser(value_parser!(SocketAddr))
+                .help(
+                    "Where other instances connect; without it, where this one listens",
+                ),
+        )
         .after_help("Settings come from the file that JAYREEL_NODE_FILE names.")
 }
 
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -15,6 +15,7 @@
 mod shell;
 mod store_link;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use clap::ArgMatches;
@@ -26,8 +27,11 @@
     let matches = args::command().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
-        Some(("edge", _)) => node::run(node::Role::Edge),
-        Some(("storage", _)) => node::run(node::Role::Storage),
+        Some(("edge", _)) => node::run(node::Role::Edge, None),
+        Some(("storage", matches)) => {
+            let advertised = matches.get_one::<SocketAddr>("advertise").copied();
+            node::run(node::Role::Storage, advertised)
+        }
         Some(("dev", matches)) => dev::run(matches),
         Some(("check", matches)) => return check(matches),
         Some(("completions", matches)) => completions(matches),
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,5 +1,6 @@
 //! `jayreel edge` and `jayreel storage`: one instance on the users' platform.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use eyre::WrapErr;
@@ -19,19 +20,21 @@
     Storage,
 }
 
-/// Runs until SIGTERM or SIGINT.
+/// Runs until SIGTERM or SIGINT. Other instances are told `advertised`, or else the address that
+/// this one listens on.
 ///
 /// # Errors
 ///
 /// If the settings are at fault or the instance cannot start.
-pub(crate) fn run(role: Role) -> eyre::Result<ExitCode> {
-    let settings = match jayreel_platform::read_settings() {
+pub(crate) fn run(role: Role, advertised: Option<SocketAddr>) -> eyre::Result<ExitCode> {
+    let mut settings = match jayreel_platform::read_settings() {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return Ok(ExitCode::from(EXIT_USAGE));
         }
     };
+    settings.advertised = advertised.unwrap_or(settings.advertised);
     logging::start_unblocking(log::LevelFilter::Info, &settings.name)?;
     let runtime = Builder::new_current_thread()
         .enable_all()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -18,6 +18,8 @@
     pub ready: Option<SocketAddr>,
     /// Where other instances connect.
     pub internal: SocketAddr,
+    /// Where other instances are told to connect: `internal`, unless something stands between.
+    pub advertised: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
     /// Folder for data that outlives the process. Only instances with a disk have it.
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -124,7 +124,7 @@
         Member {
             name: self.settings.name.clone(),
             availability_zone: self.settings.availability_zone.clone(),
-            address: self.settings.internal,
+            address: self.settings.advertised,
         }
     }
 
--- a/tests/util/relay.rs
+++ b/tests/util/relay.rs
@@ -13,6 +13,10 @@
     Cut,
     /// Connections stay open and silent, new ones too.
     Freeze,
+    /// What the target answers does not arrive.
+    LoseAnswers,
+    /// Each piece of traffic is late.
+    Slow,
     /// Traffic passes.
     Pass,
 }
@@ -111,17 +115,25 @@
             (state.target, state.generation)
         };
         let outgoing = match (self.mode(), target) {
-            (Mode::Pass, Some(target)) => TcpStream::connect(target),
+            (Mode::Pass | Mode::LoseAnswers | Mode::Slow, Some(target)) => {
+                TcpStream::connect(target)
+            }
             _ => return,
         };
         let Ok(outgoing) = outgoing else { return };
         thread::scope(|scope| {
-            scope.spawn(|| self.pump(incoming, &outgoing, generation));
-            scope.spawn(|| self.pump(&outgoing, incoming, generation));
+            scope.spawn(|| self.pump(incoming, &outgoing, generation, false));
+            scope.spawn(|| self.pump(&outgoing, incoming, generation, true));
         });
     }
 
-    fn pump(&self, mut from: &TcpStream, mut to: &TcpStream, generation: u64) {
+    fn pump(
+        &self,
+        mut from: &TcpStream,
+        mut to: &TcpStream,
+        generation: u64,
+        are_answers: bool,
+    ) {
         from.set_read_timeout(Some(Duration::from_millis(10)))
             .unwrap();
         let mut buffer = [0; 16 * 1024];
@@ -132,7 +144,12 @@
                     thread::sleep(Duration::from_millis(10));
                     continue;
                 }
-                Mode::Pass => {}
+                Mode::LoseAnswers if are_answers => {
+                    thread::sleep(Duration::from_millis(10));
+                    continue;
+                }
+                Mode::Slow => thread::sleep(Duration::from_millis(30)),
+                Mode::Pass | Mode::LoseAnswers => {}
             }
             match from.read(&mut buffer) {
                 Ok(0) => {
