--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -1,5 +1,6 @@
 //! The way of one request: who asks, whether it may run, where it runs, what follows.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
 use crate::edge::refusal::{Ran, Refusal};
 use crate::edge::stream::{self, BudgetHold, StreamCall};
 use crate::edge::turn_cache::prompt;
-use crate::edge::{CallSummary, Edge};
+use crate::edge::{CallSummary, Edge, Unanswered};
 use crate::protocol::CallHead;
 use crate::quota_stock::StockToken;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
@@ -68,6 +69,8 @@
     /// The token of its customer's rate, if it was held here.
     pub token: Option<StockToken>,
     pub event_tokens: u32,
+    /// The endpoint that it was sent to last, for the log.
+    pub endpoint: Rc<RefCell<Option<String>>>,
 }
 
 impl Admitted {
@@ -115,14 +118,19 @@
             return Refusal::denied(StatusCode::BAD_REQUEST, "unreadable").response();
         }
     };
-    let about = CallSummary::new(&edge, &call, arrived_ms);
-    match admit_and_run(&edge, call, &parts, body, arrived_ms).await {
-        Ok(response) => response,
-        Err(refusal) => {
-            edge.note_refusal(&about, &refusal);
-            refusal.response()
-        }
-    }
+    let endpoint = Rc::default();
+    let unanswered = Unanswered {
+        about: CallSummary::new(&edge, &call, arrived_ms),
+        endpoint: Rc::clone(&endpoint),
+        is_answered: false,
+    };
+    let answer = admit_and_run(&edge, call, &parts, body, arrived_ms, endpoint).await;
+    let response = answer.unwrap_or_else(|refusal| {
+        edge.note_refusal(&unanswered.about, &refusal);
+        refusal.response()
+    });
+    unanswered.close();
+    response
 }
 
 async fn admit_and_run(
@@ -131,8 +139,10 @@
     parts: &Parts,
     body: Incoming,
     arrived_ms: u64,
+    endpoint: Rc<RefCell<Option<String>>>,
 ) -> Result<Response<CallBody>, Refusal> {
-    let admitted = admit(edge, call, parts, body, arrived_ms).await?;
+    let mut admitted = admit(edge, call, parts, body, arrived_ms).await?;
+    admitted.endpoint = endpoint;
     match admitted.route.kind {
         CallKind::Stream { .. } => run_stream(edge, admitted).await,
         CallKind::Idempotent | CallKind::Once => run_plain(edge, &admitted).await,
@@ -188,6 +198,7 @@
         limit_ms,
         token,
         event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+        endpoint: Rc::default(),
     })
 }
 
@@ -281,6 +292,7 @@
     let affinity = edge.affinity.borrow().get(program).cloned();
     let balancer = edge.balancer.borrow();
     let pick = balancer.pick(now_ms(), &admitted.service, affinity.as_deref(), tried);
+    *admitted.endpoint.borrow_mut() = pick.as_ref().map(|pick| pick.id.clone());
     pick.ok_or_else(|| match attempt.may_have_run {
         true => Refusal::unknown(StatusCode::BAD_GATEWAY, "no_other_endpoint"),
         false => Refusal::not_now("no_endpoint", NO_ENDPOINT_RETRY_MS),
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -226,10 +226,13 @@
     fn note_refusal(&self, about: &CallSummary, refusal: &Refusal) {
         self.metrics.refused(refusal.reason);
         let now_ms = now_ms();
+        let configuration = self.configuration();
+        let customer = configuration.customers.get(&about.customer);
+        let limit = customer.map(|customer| customer.limit);
         log::info!(
             "event=refused request={} program={} customer={} status={} reason={} ran={} \
-             retry_after_ms={} configuration_version={} configuration_age_ms={} \
-             group_version={} group_silence_ms={} elapsed_ms={}",
+             retry_after_ms={} limit_per_s={} limit_burst={} configuration_version={} \
+             configuration_age_ms={} group_version={} group_silence_ms={} elapsed_ms={}",
             about.request_id,
             about.program,
             about.customer,
@@ -241,7 +244,9 @@
                 "unknown"
             },
             OrNone(refusal.retry_after_ms),
-            self.configuration().version,
+            OrNone(limit.map(|limit| limit.rate_per_s)),
+            OrNone(limit.map(|limit| limit.burst)),
+            configuration.version,
             OrNone(self.freshness.borrow().age_ms(now_ms)),
             self.members.group().version,
             OrNone(self.members.contact().silence_ms(now_ms)),
@@ -250,13 +255,13 @@
     }
 }
 
-/// A number in a log line, or `none`.
-struct OrNone(Option<u64>);
+/// A value in a log line, or `none`.
+struct OrNone<T>(Option<T>);
 
-impl fmt::Display for OrNone {
+impl<T: fmt::Display> fmt::Display for OrNone<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            Some(number) => write!(f, "{number}"),
+        match &self.0 {
+            Some(value) => write!(f, "{value}"),
             None => f.write_str("none"),
         }
     }
@@ -270,6 +275,38 @@
     arrived_ms: u64,
 }
 
+/// Logs that the caller left, if it is dropped before the answer has begun.
+struct Unanswered {
+    about: CallSummary,
+    /// The endpoint that it was sent to last.
+    endpoint: Rc<RefCell<Option<String>>>,
+    is_answered: bool,
+}
+
+impl Unanswered {
+    /// The answer begins.
+    fn close(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        log::info!(
+            "event=caller_gone request={} program={} customer={} endpoint={} last_event=none \
+             elapsed_ms={}",
+            self.about.request_id,
+            self.about.program,
+            self.about.customer,
+            OrNone(self.endpoint.borrow().as_deref()),
+            now_ms().saturating_sub(self.about.arrived_ms),
+        );
+    }
+}
+
 impl CallSummary {
     fn new(edge: &Edge, call: &CallHead, arrived_ms: u64) -> CallSummary {
         let configuration = edge.configuration();
