gateway: endpoints that break off get less

After each pause of 250 ms to 2 s they were as attractive as before, idle as they were: 31 instances lost 117 requests at one of them, up to 10 each. Ruled out: stale idle connections (those are sent again on a new one). Change: a send without a usable answer counts as an error for the choice, as a status of 500 does.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -44,7 +44,7 @@
 /// endpoint that was slow is tried again.
 const SPEED_MEMORY_MS: f64 = 4_000.0;
 
-/// Load that an endpoint which answers only with errors must have less, relative to its slots,
+/// Load that an endpoint which answers only with errors, or not at all, must have less, relative to its slots,
 /// to be preferred. More than a zone's penalty, so that errors of a whole zone are left.
 const ERROR_PENALTY: f64 = 1.0;
 
@@ -77,7 +77,8 @@
     /// Average time to the first byte over the service's average.
     slowness: f64,
     slowness_ms: u64,
-    /// Part of the answers that were errors, the newest ones counting most. 0 to 1.
+    /// Part of the sends that ended with an error or with no answer, the newest ones counting
+    /// most. 0 to 1.
     error_part: f64,
     error_part_ms: u64,
 }
@@ -248,6 +249,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             let pause_ms = FIRST_PAUSE_MS << endpoint.failures.min(8);
             endpoint.failures += 1;
+            endpoint.note_answer(now_ms, true);
             endpoint.paused_until_ms = now_ms + pause_ms.min(LONGEST_PAUSE_MS);
         }
     }
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -1,6 +1,7 @@
 //! Which endpoint gets the next request.
 
 use jayreel_gateway::{Balancer, EndpointEntry, EndpointKey, Load};
+use test_case::test_case;
 
 fn entry(id: &str, zone: &str) -> EndpointEntry {
     EndpointEntry {
@@ -135,8 +136,12 @@
 
 /// Sends a request every 5 ms for ten seconds to five endpoints, of which one answers three of
 /// five requests with an error at once and the others take 100 ms. Returns the part of the
-/// requests that get the error.
-fn part_of_errors(entries: &[(&str, &str)], grey: &str) -> f64 {
+/// requests that get the error, of which the balancer hears by `note_error`.
+fn part_of_errors(
+    entries: &[(&str, &str)],
+    grey: &str,
+    note_error: fn(&mut Balancer, u64, EndpointKey),
+) -> f64 {
     let mut balancer = balancer(entries);
     let mut running: Vec<(u64, EndpointKey)> = Vec::new();
     let (mut sent, mut errors) = (0, 0);
@@ -154,7 +159,7 @@
         match pick.id == grey && sent % 5 < 3 {
             true => {
                 errors += 1;
-                balancer.answer_with_error(now_ms, pick.key);
+                note_error(&mut balancer, now_ms, pick.key);
             }
             false => {
                 balancer.begin(pick.key);
@@ -167,13 +172,36 @@
 
 /// An endpoint that fails requests at once is always idle, and looks fast: without a memory of
 /// its errors it gets most of the requests.
-#[test]
-fn endpoint_that_fails_requests_at_once_does_not_attract_them() {
+///
+/// The same holds for one that resets connections. Seen on scale-2 of the grown
+/// dvcra-council-reports: 31 instances lost 117 requests at one such endpoint, up to 10 each, since
+/// it was as attractive as before after each pause.
+#[test_case(Balancer::answer_with_error)]
+#[test_case(Balancer::fail)]
+fn endpoint_that_fails_requests_at_once_does_not_attract_them(
+    note_error: fn(&mut Balancer, u64, EndpointKey),
+) {
     let entries = ["one", "two", "three", "four", "grey"].map(|id| (id, "a"));
-    let part = part_of_errors(&entries, "grey");
+    let part = part_of_errors(&entries, "grey", note_error);
     assert!(part < 0.02, "{part}");
 }
 
+/// A few instances send one endpoint a request a second each. One that resets the connections of
+/// all is tried again when its pause is over, but not while others have room.
+#[test]
+fn endpoint_that_resets_connections_is_left_alone_for_seconds() {
+    let mut balancer = balancer(&[("one", "a"), ("two", "a"), ("three", "a")]);
+    let mut resets = 0;
+    for now_ms in (0..6_000).step_by(300) {
+        if picked(&balancer, now_ms) == "one" {
+            let one = balancer.pick(now_ms, "engines", None, &[]).expect("one");
+            balancer.fail(now_ms, one.key);
+            resets += 1;
+        }
+    }
+    assert!(resets <= 2, "{resets} resets");
+}
+
 /// An error is no reason to leave the zone while others of it have room.
 #[test]
 fn error_leads_to_another_endpoint_of_the_zone() {
