--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -24,11 +24,13 @@
 /// The token that a request needs.
 pub(crate) fn quota_want(
     edge: &Edge,
+    route: &Route,
     call: &CallHead,
     name: &str,
     customer: &Customer,
 ) -> QuotaWant {
     let program = call.program.as_ref();
+    let is_turn = matches!(route.kind, CallKind::Stream { .. });
     let has_begun = program.is_some_and(|program| {
         call.previous_turn.is_some() || edge.affinity.borrow().contains_key(&program.id)
     });
@@ -40,7 +42,7 @@
             true => QuotaUse::GoOn,
             false => QuotaUse::Begin,
         },
-        budget: program.and_then(|program| {
+        budget: program.filter(|_| is_turn).and_then(|program| {
             Some(TurnBudget {
                 budget_tokens: program.budget_tokens?,
                 most_tokens: call.reserved_tokens(),
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -175,7 +175,7 @@
     let body = read_body(&configuration, body, limit_ms).await?;
     let token = match &customer {
         Some((name, customer)) => {
-            let want = quota_want(edge, &call, name, customer);
+            let want = quota_want(edge, &route, &call, name, customer);
             edge.take_quota(want, configuration.version).await?
         }
         None => None,
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -16,9 +16,9 @@
 /// are missing. Restarts take less.
 const AWAY_AFTER_MS: u64 = 1_200;
 
-/// An entry instance that has sent nothing for this time has left for good, in milliseconds: longer
-/// than cuts last, which are tens of seconds at most.
-const FORGET_AFTER_MS: u64 = 60_000;
+/// An entry instance that has sent nothing for this time has left for good, in milliseconds: twice
+/// the cuts that the users describe. Those that were replaced must not count for long.
+const FORGET_AFTER_MS: u64 = 30_000;
 
 /// What a member knows of the entry instances of its zone.
 #[derive(Debug, Default)]
