gateway: callers wait while members are down for all

Ruled out: the restart of members (0.4 s after their power is back, as before). Change: if the store has answered since the quorum fell silent, members are down for all, and callers wait 0.9 s; an instance takes itself to be alone only after 1.2 s without anyone.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -7,8 +7,9 @@
 //!
 //! When they should come back depends on who else is cut off. If the member of the own zone still
 //! answers, the whole zone is, and callers need the time until the balancer sends them to another
-//! one. If no member does, the instance is alone, and the next attempt probably reaches another
-//! instance, so that a pause only costs time.
+//! one. If no member does, nor the store, the instance is alone, and the next attempt probably
+//! reaches another instance, so that a pause only costs time. If the store answers and a quorum does
+//! not, members are down for all instances, and callers need the time until they are back.
 
 /// Without an answer of a quorum for this long, in milliseconds, the contact is lost. Several
 /// questions have failed by then; a member that restarts does not take it away.
@@ -30,6 +31,10 @@
 /// a new connection.
 const ELSEWHERE_RETRY_MS: u64 = 100;
 
+/// Without an answer of anyone for this long an instance takes itself to be alone, in
+/// milliseconds: by then it has called the store, since no member tells it the configuration.
+const ALONE_AFTER_MS: u64 = 1_200;
+
 /// Retry-After of an instance that has not heard from the group since its start, in milliseconds:
 /// a member that was killed at the same time needs about as long to read its disk.
 const START_RETRY_MS: u64 = 250;
@@ -39,6 +44,7 @@
 pub struct Contact {
     quorum_ms: Option<u64>,
     member_ms: Option<u64>,
+    store_ms: Option<u64>,
 }
 
 impl Contact {
@@ -53,6 +59,17 @@
         self.member_ms = self.member_ms.max(Some(now_ms));
     }
 
+    /// The store answered.
+    pub fn note_store(&mut self, now_ms: u64) {
+        self.store_ms = self.store_ms.max(Some(now_ms));
+    }
+
+    /// Whether the store has answered since the quorum fell silent.
+    fn has_store_outlived_quorum(&self) -> bool {
+        let lost_ms = self.quorum_ms.map(|quorum_ms| quorum_ms + LOST_AFTER_MS);
+        self.store_ms > lost_ms
+    }
+
     /// Time since a quorum answered, in milliseconds.
     pub fn silence_ms(&self, now_ms: u64) -> Option<u64> {
         Some(now_ms.saturating_sub(self.quorum_ms?))
@@ -88,7 +105,14 @@
     pub fn retry_ms(&self, now_ms: u64, has_near_member: bool) -> u64 {
         match self.silence_ms(now_ms) {
             None => START_RETRY_MS,
-            Some(_) if has_near_member && !self.has_member(now_ms) => ELSEWHERE_RETRY_MS,
+            Some(_) if self.has_store_outlived_quorum() => MOST_RETRY_MS,
+            Some(silence_ms)
+                if has_near_member
+                    && !self.has_member(now_ms)
+                    && silence_ms >= ALONE_AFTER_MS =>
+            {
+                ELSEWHERE_RETRY_MS
+            }
             Some(silence_ms) => BALANCER_MS
                 .saturating_sub(silence_ms)
                 .clamp(ELSEWHERE_RETRY_MS, MOST_RETRY_MS),
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -159,6 +159,11 @@
         *self.contact.borrow()
     }
 
+    /// The store answered this instance.
+    pub(crate) fn note_store(&self) {
+        self.contact.borrow_mut().note_store(now_ms());
+    }
+
     /// When a caller may come back that needs the group, in milliseconds.
     pub fn retry_ms(&self) -> u64 {
         let group = self.group();
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -93,6 +93,7 @@
         }
         match edge.store.configuration(known).await {
             Ok(read) => {
+                edge.members.note_store();
                 edge.take_configuration(began_ms, read);
                 note_store(&mut is_reachable, None);
                 edge.store_backoff.borrow_mut().succeed();
@@ -271,6 +272,7 @@
         }
         match edge.store.own_records(GROUP_RECORD, true).await {
             Ok(records) => {
+                edge.members.note_store();
                 let record = records.iter().find(|record| record.name == GROUP_RECORD);
                 if let Some(record) = record {
                     adopt(&edge, &record.content);
--- a/crates/gateway/tests/contact.rs
+++ b/crates/gateway/tests/contact.rs
@@ -60,6 +60,22 @@
     assert!(contact.retry_ms(2_000, true) >= 800);
 }
 
+/// Seen on a hunted kill-twice of dvcra-council-reports: all instances with disks lost power for two
+/// seconds. Each entry instance took itself to be alone, and callers used up their attempts at once.
+#[test]
+fn callers_wait_while_the_members_are_down() {
+    let mut contact = Contact::default();
+    contact.note_quorum(1_000);
+    contact.note_store(1_900);
+    assert!(contact.retry_ms(2_500, true) >= 800);
+    assert!(contact.retry_ms(4_500, true) >= 800, "no zone does better");
+    contact.note_quorum(5_000);
+    assert!(
+        contact.retry_ms(7_000, true) <= 100,
+        "the store answered before the loss"
+    );
+}
+
 /// After a kill of all processes members answer within half a second; callers were told 900 ms.
 #[test]
 fn callers_of_an_instance_that_starts_come_back_soon() {
