--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -65,7 +65,7 @@
     }
 
     /// Whether the store has answered since the quorum fell silent.
-    fn has_store_outlived_quorum(&self) -> bool {
+    fn has_heard_store_since_loss(&self) -> bool {
         let lost_ms = self.quorum_ms.map(|quorum_ms| quorum_ms + LOST_AFTER_MS);
         self.store_ms > lost_ms
     }
@@ -105,7 +105,7 @@
     pub fn retry_ms(&self, now_ms: u64, has_near_member: bool) -> u64 {
         match self.silence_ms(now_ms) {
             None => START_RETRY_MS,
-            Some(_) if self.has_store_outlived_quorum() => MOST_RETRY_MS,
+            Some(_) if self.has_heard_store_since_loss() => MOST_RETRY_MS,
             Some(silence_ms)
                 if has_near_member
                     && !self.has_member(now_ms)
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -71,7 +71,7 @@
     pub affinity: RefCell<HashMap<String, String>>,
     has_endpoints: Cell<bool>,
     /// Most entry instances of the zone are cut off, so callers are better served elsewhere.
-    is_zone_deserted: Cell<bool>,
+    is_zone_mostly_away: Cell<bool>,
     is_stopping: Cell<bool>,
     answer_log: RefCell<LineBudget>,
     pub metrics: Metrics,
@@ -108,7 +108,7 @@
             turns: RefCell::default(),
             affinity: RefCell::default(),
             has_endpoints: Cell::new(false),
-            is_zone_deserted: Cell::new(false),
+            is_zone_mostly_away: Cell::new(false),
             is_stopping: Cell::new(false),
             answer_log: RefCell::default(),
             metrics: Metrics::new(),
@@ -131,7 +131,7 @@
         let revocation_ms = self.settings.bounds.revocation_ms;
         !self.is_stopping.get()
             && self.has_endpoints.get()
-            && !self.is_zone_deserted.get()
+            && !self.is_zone_mostly_away.get()
             && self.configuration_revision.get() > 0
             && self.members.contact().is_ready(now_ms())
             && self.freshness.borrow().admits(now_ms(), revocation_ms)
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -334,11 +334,11 @@
     loop {
         pause(PRESENCE_INTERVAL_MS).await;
         let presence = edge.members.zone_presence(&edge.settings.name).await;
-        let is_deserted = presence.is_some_and(is_mostly_away);
-        if is_deserted != edge.is_zone_deserted.replace(is_deserted) {
+        let is_zone_away = presence.is_some_and(is_mostly_away);
+        if is_zone_away != edge.is_zone_mostly_away.replace(is_zone_away) {
             let ZonePresence { known, present } = presence.unwrap_or_default();
             log::warn!(
-                "event=zone_presence deserted={is_deserted} known={known} present={present}"
+                "event=zone_presence mostly_away={is_zone_away} known={known} present={present}"
             );
         }
     }
--- a/crates/gateway/tests/presence.rs
+++ b/crates/gateway/tests/presence.rs
@@ -5,7 +5,7 @@
 
 /// What the first of ten entry instances hears after `away` others have been silent for
 /// `silent_ms`.
-fn is_deserted(away: usize, silent_ms: u64) -> bool {
+fn is_zone_away(away: usize, silent_ms: u64) -> bool {
     let mut book = PresenceBook::default();
     let names: Vec<String> = (0..10).map(|number| format!("entry-{number}")).collect();
     let mut heard = None;
@@ -25,7 +25,7 @@
 #[test_case(4, 4_000, false; "the others are more than half")]
 #[test_case(8, 800, false; "a restart of most")]
 fn callers_are_sent_to_other_zones(away: usize, silent_ms: u64, expected: bool) {
-    assert_eq!(is_deserted(away, silent_ms), expected);
+    assert_eq!(is_zone_away(away, silent_ms), expected);
 }
 
 #[test]
