fleet: tell a founder that registers after the read from one that is gone

Cause: an instance that read the registrations before the founder of the fleet had registered, and the home record after, found the named founder missing and took itself to be responsible for keys. First calls got ran=unknown until the next read; if the founder stopped before that read, all keyed calls got unknown for 911 s, because no view named a predecessor whose handover could count.

Ruled out: another cause of founder_stopped_as_planned. A reducer test plays its timing (the founder stops 1.3 s after the start, before the second read) and fails every time on the old code with the answer that was seen.

Now the founder counts as gone only by a read of the registrations that was sent after the record first named it. A process that has just started takes it for registered until then, so that its handover counts; at most the freshness limit after the start, long before any other process can have settled.

Before: three new tests of crates/fleet/tests/cold_start.rs fail. Reads of the registrations are in the log.

--- a/crates/core/src/store_link/mod.rs
+++ b/crates/core/src/store_link/mod.rs
@@ -79,6 +79,7 @@
             own: own.clone(),
             stopped: Arc::clone(&stopped),
             last_renewal_ms: None,
+            last_registered: Vec::new(),
         };
         let reader = thread::Builder::new()
             .name("store-reader".to_string())
--- a/crates/core/src/store_link/reader.rs
+++ b/crates/core/src/store_link/reader.rs
@@ -44,6 +44,8 @@
     pub(super) stopped: Arc<AtomicBool>,
     /// When the last renewal that was reported to the reducer was sent.
     pub(super) last_renewal_ms: Option<u64>,
+    /// The registered processes of the last read.
+    pub(super) last_registered: Vec<Incarnation>,
 }
 
 impl StoreReader {
@@ -108,7 +110,7 @@
         }
     }
 
-    fn read_registrations(&self) {
+    fn read_registrations(&mut self) {
         let sent_at_ms = self.context.clock.now_ms();
         match registrations::<RegisteredInstance>(self.context.store.as_ref()) {
             Ok(entries) => {
@@ -120,6 +122,7 @@
                     .into_iter()
                     .map(|entry| entry.record.value)
                     .collect();
+                self.log_change(sent_at_ms, &registered);
                 self.update_peer_addresses(&registered);
                 let event = FleetEvent::RegistrationsRead {
                     sent_at_ms,
@@ -132,6 +135,20 @@
         }
     }
 
+    /// Logs the registered processes if they differ from those of the last read.
+    fn log_change(&mut self, sent_at_ms: u64, registered: &[RegisteredInstance]) {
+        let entries = registered.iter();
+        let incarnations: Vec<Incarnation> =
+            entries.map(|entry| entry.incarnation.clone()).collect();
+        if incarnations == self.last_registered {
+            return;
+        }
+        let names: Vec<String> = incarnations.iter().map(ToString::to_string).collect();
+        let names = names.join(",");
+        log::info!("event=registrations_read sent_at_ms={sent_at_ms} registered={names}");
+        self.last_registered = incarnations;
+    }
+
     /// Passes the addresses of all other registered instances to the peer network.
     fn update_peer_addresses(&self, registered: &[RegisteredInstance]) {
         let others = registered
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -114,6 +114,8 @@
     pub(crate) effects: Vec<FleetEffect>,
     /// Unix time at `now_ms` 0. Used only for the validity of program tokens.
     unix_ms_at_zero: u64,
+    /// Time of the first event. `None` before it.
+    pub(crate) started_ms: Option<u64>,
     /// Time of the event that is being applied, or of the last one.
     pub(crate) last_now_ms: u64,
 }
@@ -158,6 +160,7 @@
             changes: ProgramChanges::default(),
             effects: Vec::new(),
             unix_ms_at_zero,
+            started_ms: None,
             last_now_ms: 0,
             settings,
         }
@@ -166,6 +169,7 @@
     /// Applies one event at `now_ms`, in milliseconds of the monotonic clock. The resulting
     /// effects are returned by [`FleetState::take_effects`].
     pub fn apply(&mut self, now_ms: u64, event: FleetEvent) {
+        self.started_ms.get_or_insert(now_ms);
         self.last_now_ms = now_ms;
         self.may_need_grant |= event.affects_calls();
         match event {
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -20,6 +20,9 @@
     /// The newest record that was read, with its version. `None` before the first read and
     /// after a lapse of the home share.
     latest_record: Option<(HomeRecord, u64)>,
+    /// The founder that the record names, and when a record first named it. The founder was
+    /// registered before it created the record.
+    founder: Option<(Incarnation, u64)>,
     /// The version on which the last write was based, whatever its outcome. `None` if there
     /// was no write since the start or since a lapse of the home share.
     last_write_on: Option<u64>,
@@ -59,6 +62,11 @@
         }
         let registered = &self.home.registered;
         self.home.absence.observe(sent_at_ms, &record, registered);
+        let known_founder = self.home.founder.as_ref().map(|(founder, _)| founder);
+        if known_founder != record.founder.as_ref() {
+            let founder = record.founder.clone();
+            self.home.founder = founder.map(|founder| (founder, now_ms));
+        }
         self.home.latest_record = Some((record, version));
         self.home.write_in_flight = false;
         self.update_keyed_responsibility();
@@ -95,28 +103,42 @@
     /// Updates which instances are responsible for idempotency keys of calls without a
     /// program. That is the process that created the home record, while it is registered,
     /// because it knows all keys; otherwise all registered instances.
+    ///
+    /// The founder was registered before it created the record. If the registrations were
+    /// read before the record and lack it, it may have registered, or left, around that
+    /// read. A process that has just started then takes it for registered, so that it can
+    /// use the keys that the founder hands over. Later ones wait for the next read.
     fn update_keyed_responsibility(&mut self) {
-        let (Some((record, 1..)), Some(sent_at_ms)) =
+        let (Some((_, 1..)), Some(sent_at_ms)) =
             (&self.home.latest_record, self.home.registered_at_ms)
         else {
             return;
         };
         let registered = &self.home.registered;
-        let founder = record
-            .founder
-            .as_ref()
-            .filter(|founder| registered.get(&founder.instance) == Some(founder));
-        let processes = match founder {
-            Some(founder) => {
-                BTreeMap::from([(founder.instance.clone(), founder.clone())])
+        let is_registered =
+            |founder: &Incarnation| registered.get(&founder.instance) == Some(founder);
+        let processes = match &self.home.founder {
+            Some((founder, _)) if is_registered(founder) => founder_only(founder),
+            Some((founder, named_at_ms)) if sent_at_ms <= *named_at_ms => {
+                match self.is_starting(*named_at_ms) {
+                    true => founder_only(founder),
+                    false => return,
+                }
             }
-            None => registered.clone(),
+            _ => registered.clone(),
         };
         let own_lease = self.home.own_lease;
         self.keyed
             .registrations_read(sent_at_ms, processes, own_lease);
     }
 
+    /// Whether this process had just started at `at_ms`. No other process can have become
+    /// responsible for keys and settled since its start.
+    fn is_starting(&self, at_ms: u64) -> bool {
+        let started_ms = self.started_ms.unwrap_or(at_ms);
+        at_ms.saturating_sub(started_ms) <= self.settings.registration_freshness_ms
+    }
+
     /// Extends the validity of the home share to one term after the renewal of the own
     /// registration, which was sent at `sent_at_ms`.
     pub(crate) fn registration_renewed(&mut self, now_ms: u64, sent_at_ms: u64) {
@@ -233,3 +255,8 @@
         Some(renewed_at_ms + self.settings.home_term_ms)
     }
 }
+
+/// The processes responsible for keys while the founder is registered.
+fn founder_only(founder: &Incarnation) -> BTreeMap<String, Incarnation> {
+    BTreeMap::from([(founder.instance.clone(), founder.clone())])
+}
--- a/crates/fleet/tests/cold_start.rs
+++ b/crates/fleet/tests/cold_start.rs
@@ -14,10 +14,11 @@
     RequestId, Route,
 };
 use jayreel_programs::TokenKey;
+use jayreel_quota::home_weights::HomeRecord;
 use jayreel_scheduler::effect::Reply;
 use jayreel_scheduler::event::{CallArrived, CallOperation};
 use jayreel_scheduler::{Effect, Event, SchedulerSettings};
-use support::{engine, heartbeat, incarnation};
+use support::{engine, heartbeat, incarnation, registered};
 
 const MINUTE_MS: u64 = 60_000;
 
@@ -149,6 +150,131 @@
     }
 }
 
+/// The outputs for a call with an idempotency key and without a program.
+fn keyed_order(reducer: &mut Reducer, now_ms: u64, id: u64) -> Vec<Output> {
+    let keyed = CallArrived {
+        idempotency_key: Some("one".to_string()),
+        ..order(id)
+    };
+    call(reducer, now_ms, keyed)
+}
+
+fn read_registrations(reducer: &mut Reducer, now_ms: u64, names: &[&str]) {
+    let event = FleetEvent::RegistrationsRead {
+        sent_at_ms: now_ms,
+        registered: names
+            .iter()
+            .map(|name| registered(name, "zone-0"))
+            .collect(),
+        own_lease: Some(1),
+    };
+    reducer.apply(now_ms, Input::Fleet(event));
+}
+
+/// The instance reads the record, which names `entry-0` as the founder of the fleet.
+fn read_founder(reducer: &mut Reducer, now_ms: u64) {
+    let record = HomeRecord {
+        founder: Some(incarnation("entry-0")),
+        ..HomeRecord::default()
+    };
+    let event = FleetEvent::HomeWeightsRead {
+        sent_at_ms: now_ms - 50,
+        record,
+        version: 1,
+    };
+    reducer.apply(now_ms, Input::Fleet(event));
+}
+
+fn is_forwarded_to_founder(outputs: &[Output]) -> bool {
+    outputs.iter().any(|output| match output {
+        Output::Schedule(Effect::Forward { to, .. }) => *to == incarnation("entry-0"),
+        _ => false,
+    })
+}
+
+// Guards against an instance that reads the registrations before the founder of the fleet
+// has registered, and the record that the founder creates after it. It took the founder for
+// gone and answered a first call with `unknown` until its next read of the registrations.
+#[test]
+fn founder_that_registers_after_the_read_is_not_taken_for_gone() {
+    let mut reducer = reducer_of("entry-1");
+    read_registrations(&mut reducer, 100, &["entry-1"]);
+    read_founder(&mut reducer, 200);
+    let outputs = keyed_order(&mut reducer, 300, 1);
+    assert_eq!(
+        refused_ran(&outputs),
+        Ran::No,
+        "the founder has no address yet"
+    );
+    read_registrations(&mut reducer, 2_100, &["entry-0", "entry-1"]);
+    assert!(is_forwarded_to_founder(&keyed_order(
+        &mut reducer,
+        2_200,
+        2
+    )));
+    read_registrations(&mut reducer, 4_100, &["entry-1"]);
+    let outputs = keyed_order(&mut reducer, 4_200, 3);
+    assert_eq!(refused_ran(&outputs), Ran::Unknown, "the founder is gone");
+}
+
+/// The keys that the founder hands to `entry-1` when it stops at `now_ms`.
+fn handover_of_founder(now_ms: u64) -> Vec<PeerMessage> {
+    let mut founder = reducer_of("entry-0");
+    let created = FleetEvent::HomeWeightsWritten {
+        version: 0,
+        accepted: true,
+    };
+    founder.apply(150, Input::Fleet(created));
+    read_founder(&mut founder, 200);
+    read_registrations(&mut founder, now_ms - 100, &["entry-0", "entry-1"]);
+    let outputs = founder.apply(now_ms, Input::Fleet(FleetEvent::StopStarted));
+    let messages = outputs.into_iter().filter_map(|output| match output {
+        Output::Fleet(FleetEffect::Send { to, message }) if to == "entry-1" => {
+            Some(message)
+        }
+        _ => None,
+    });
+    messages
+        .filter(|message| matches!(message, PeerMessage::KeyedHandover(_)))
+        .collect()
+}
+
+// Guards against a successor that has never seen the founder registered, because the founder
+// registered after its first read of the registrations and stopped before the second one. It
+// answered all calls with an idempotency key with `unknown` for 911 s (G11, G13).
+#[test]
+fn successor_that_never_saw_the_founder_uses_its_handover() {
+    let mut reducer = reducer_of("entry-1");
+    read_registrations(&mut reducer, 100, &["entry-1"]);
+    read_founder(&mut reducer, 200);
+    let messages = handover_of_founder(1_300);
+    assert_eq!(messages.len(), 1);
+    for message in messages {
+        let from = "entry-0".to_string();
+        reducer.apply(
+            1_400,
+            Input::Fleet(FleetEvent::PeerMessage { from, message }),
+        );
+    }
+    read_registrations(&mut reducer, 2_100, &["entry-1"]);
+    let outputs = keyed_order(&mut reducer, 2_200, 1);
+    let is_refused =
+        |output: &Output| matches!(output, Output::Schedule(Effect::Refuse { .. }));
+    assert!(!outputs.iter().any(is_refused), "{outputs:?}");
+}
+
+// Guards against an instance that has run for long without the record, and takes the founder
+// for registered although others may have become responsible since it left.
+#[test]
+fn settled_instance_waits_for_a_read_that_is_newer_than_the_record() {
+    let mut reducer = reducer_of("entry-1");
+    tick(&mut reducer, 0);
+    read_registrations(&mut reducer, 20 * MINUTE_MS, &["entry-1"]);
+    read_founder(&mut reducer, 20 * MINUTE_MS + 50);
+    let outputs = keyed_order(&mut reducer, 20 * MINUTE_MS + 100, 1);
+    assert_eq!(refused_ran(&outputs), Ran::No);
+}
+
 // Guards against a takeover of programs whose owner is not gone but unknown to this
 // instance.
 #[test]
