--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -15,6 +15,7 @@
 use crate::config::{CallKind, Configuration, Customer, Route};
 use crate::edge::Edge;
 use crate::edge::call::{NO_CAPACITY_RETRY_AFTER_MS, NO_ENDPOINT_RETRY_AFTER_MS};
+use crate::edge::members::STORAGE_FULL_PAUSE_MS;
 use crate::edge::refusal::Refusal;
 use crate::protocol::CallHead;
 
@@ -138,8 +139,8 @@
     }
 }
 
-/// Refuses a request early if it needs the storage group and the contact with it is lost. Budgets
-/// and stored turns need a quorum; a rate-limit token needs one member.
+/// Refuses a request early if it needs the storage group and the contact with it is lost or its
+/// disks are full. Budgets and stored turns need a quorum; a rate-limit token needs one member.
 pub(crate) fn check_group(
     edge: &Edge,
     route: &Route,
@@ -160,6 +161,9 @@
             edge.members.retry_after_ms(),
         )
         .closing_connection()),
+        (true, _) if edge.members.is_storage_full(now_ms) => {
+            Err(Refusal::retry_later("storage_full", STORAGE_FULL_PAUSE_MS))
+        }
         (false, true) if !contact.has_member(now_ms) => Err(Refusal::retry_later(
             "group_lost",
             edge.members.retry_after_ms(),
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use jayreel_ledger::{Decision, ProgramKey, Reservation, TurnRecord};
+use jayreel_ledger::{Decision, ProgramKey, Reservation, TurnDigest, TurnRecord};
 
 use crate::balance::Pick;
 use crate::clock::now_ms;
@@ -21,14 +21,14 @@
 };
 use crate::edge::body::CallBody;
 use crate::edge::exchange::{EndpointResponse, OutgoingRequest, SendTimeouts, send};
-use crate::edge::members::ChainLookup;
+use crate::edge::members::{ChainLookup, STORAGE_FULL_PAUSE_MS};
 use crate::edge::refusal::Refusal;
 use crate::edge::stream::{self, BudgetReservation, StreamCall};
-use crate::edge::turn_cache::build_prompt;
 use crate::edge::{DisconnectLogger, Edge, RequestLogFields};
 use crate::protocol::CallHead;
 use crate::quota_buffer::BufferedToken;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
+use crate::turn_cache::build_prompt;
 use crate::urgency::engine_priority;
 
 /// A request with less time left than this, in milliseconds, is not sent: an idle endpoint
@@ -390,7 +390,7 @@
     let mut chain = Vec::new();
     let mut next = admitted.call.previous_turn.clone();
     while let Some(turn) = next.take() {
-        let cached = edge.turns.borrow().get(&turn);
+        let cached = edge.turns.borrow().get(TurnDigest::of(&turn));
         let record = match cached {
             Some(record) => record,
             None => fetch_chain(edge, &turn, chain.is_empty()).await?,
@@ -456,6 +456,9 @@
             StatusCode::PAYMENT_REQUIRED,
             "budget_exhausted",
         )),
+        Err(_) if edge.members.is_storage_full(now_ms()) => {
+            Err(Refusal::retry_later("storage_full", STORAGE_FULL_PAUSE_MS))
+        }
         Ok(Decision::Reread) | Err(_) => Err(Refusal::retry_later(
             "budget_unreachable",
             NO_QUORUM_RETRY_AFTER_MS,
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -52,6 +52,9 @@
 /// nearest and one more.
 const MAX_ENDPOINT_SOURCES: usize = 2;
 
+/// After a member has reported a full disk, no turns are started for this long, in milliseconds.
+pub const STORAGE_FULL_PAUSE_MS: u64 = 1_000;
+
 /// Too few members responded in one version of the group, or too late, to decide a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct NoQuorum;
@@ -83,6 +86,8 @@
     contact: RefCell<GroupContact>,
     /// A member has reported a newer version of the group than this instance has.
     is_group_outdated: Cell<bool>,
+    /// When a member last reported that its disk is full.
+    storage_full_ms: Cell<Option<u64>>,
 }
 
 impl Members {
@@ -94,6 +99,7 @@
             client,
             contact: RefCell::default(),
             is_group_outdated: Cell::new(false),
+            storage_full_ms: Cell::new(None),
         }
     }
 
@@ -163,9 +169,19 @@
         if response.is_ok() {
             self.contact.borrow_mut().record_member_response(now_ms());
         }
+        if response == Ok(MemberResponse::StorageFull) {
+            self.storage_full_ms.set(Some(now_ms()));
+        }
         response
     }
 
+    /// Whether a member has just reported that its disk is full, so that a turn that starts now
+    /// may not be stored.
+    pub fn is_storage_full(&self, now_ms: u64) -> bool {
+        let full_ms = self.storage_full_ms.get();
+        full_ms.is_some_and(|full_ms| now_ms < full_ms + STORAGE_FULL_PAUSE_MS)
+    }
+
     /// A copy of the current state of the contact with the group.
     pub fn contact(&self) -> GroupContact {
         *self.contact.borrow()
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -14,7 +14,6 @@
 mod refusal;
 mod stream;
 mod sync;
-mod turn_cache;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -32,7 +31,6 @@
 use crate::edge::exchange::OutgoingRequest;
 use crate::edge::pool::Pool;
 use crate::edge::refusal::Refusal;
-use crate::edge::turn_cache::TurnCache;
 use crate::freshness::Freshness;
 use crate::link::LinkPool;
 use crate::log_queue::LineBudget;
@@ -41,6 +39,7 @@
 use crate::quota_buffer::QuotaBuffer;
 use crate::retry::Outcome;
 use crate::settings::NodeSettings;
+use crate::turn_cache::TurnCache;
 
 pub use listen::run;
 pub use members::{ChainLookup, Members, NoQuorum};
@@ -49,6 +48,10 @@
 /// reached; a program lasts only a few seconds.
 const MAX_AFFINITIES: usize = 4_096;
 
+/// Size of the cache of finished turns, in bytes: a few hundred conversations of ten turns of
+/// 3 KB.
+const MAX_CACHE_BYTES: usize = 8 << 20;
+
 /// Fraction of `Bounds::configuration_ms`. A configuration that was confirmed to be current
 /// within this time may be used to report to callers that a route or key does not exist.
 const RECENT_FRACTION: f64 = 0.9;
@@ -116,7 +119,7 @@
             store_backoff: RefCell::default(),
             quota: RefCell::default(),
             refused_until_ms: RefCell::default(),
-            turns: RefCell::default(),
+            turns: RefCell::new(TurnCache::new(MAX_CACHE_BYTES)),
             affinity: RefCell::default(),
             has_endpoints: Cell::new(false),
             is_zone_majority_absent: Cell::new(false),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod retry;
 mod settings;
 pub mod storage;
+mod turn_cache;
 mod urgency;
 
 pub use backoff::Backoff;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,6 +42,8 @@
 pub struct ProcessLimits {
     /// Disk space, in megabytes. 0 on an instance without a disk.
     pub disk_mb: u64,
+    /// Memory of the process, in megabytes.
+    pub memory_mb: u64,
 }
 
 /// Time limits and tolerances agreed with operators and callers.
--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -6,12 +6,15 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use jayreel_ledger::{Group, Member, MemberRequest, MemberResponse};
+use jayreel_ledger::{
+    CopyCursor, Group, LedgerRecord, Member, MemberRequest, MemberResponse, TurnDigest,
+};
 
 use crate::clock::{now_ms, pause};
 use crate::config::Configuration;
 use crate::directory::{MetadataError, RetirementState};
 use crate::endpoint_view::{CHANGE_BATCH_MS, EndpointWatcher, MEMBER_WATCH_MS};
+use crate::link::Link;
 use crate::membership::{
     COPY_DELAY_MS, GROUP_RECORD, MEMBER_RECORD_PREFIX, MemberMonitor, Proposal,
 };
@@ -47,6 +50,12 @@
 /// Timeout for copying one part of the records, in milliseconds.
 const PART_TIMEOUT_MS: u64 = 2_000;
 
+/// Number of turns in a request for a copy. The response contains fewer if they are large.
+const MAX_COPIED_TURNS: usize = 256;
+
+/// Number of turns that a leaving instance sends at once.
+const MAX_HANDED_TURNS: usize = 16;
+
 /// Pause between two attempts to copy missing records, in milliseconds.
 const COPY_INTERVAL_MS: u64 = 100;
 
@@ -202,10 +211,10 @@
     }
 }
 
-/// Copies all records of another instance, part by part. Stops early if the instance does not
+/// Copies all records of another instance. Stops early if the instance does not
 /// respond, does not hold all records itself, or the group changes meanwhile; the caller then
 /// starts over.
-async fn copy_from(process: &StorageProcess, source: &Member) {
+async fn copy_from(process: &Rc<StorageProcess>, source: &Member) {
     let link = process.links.to(source);
     let group = process.node.borrow().group().clone();
     let version = group.version;
@@ -219,33 +228,114 @@
     if adopted.is_err() {
         return;
     }
-    let mut cursor = Some(0);
-    while let Some(next) = cursor {
-        let request = MemberRequest::CopyPart { cursor: next };
-        let response = link.send_request(version, request, PART_TIMEOUT_MS).await;
-        if let Ok(MemberResponse::GroupSuperseded(newer)) = response {
-            process.apply(Event::GroupReceived(newer));
-            return;
+    let copy = Copy {
+        process,
+        source,
+        link: &link,
+        version,
+    };
+    if copy.run().await.is_some() {
+        log::info!(
+            "event=copied source={} records={}",
+            source.name,
+            process.copied_records.get()
+        );
+    }
+}
+
+/// A copy of all records of another instance. It reads the charges and the digests of all turns,
+/// and those turns that this instance lacks. A copy that breaks off is therefore resumed by
+/// another one, and copies from several instances share the work.
+///
+/// Each step waits until the records of the one before are on disk, which bounds the memory.
+struct Copy<'a> {
+    process: &'a Rc<StorageProcess>,
+    source: &'a Member,
+    link: &'a Link,
+    /// Version of the group in which the source must hold all records.
+    version: u64,
+}
+
+impl Copy<'_> {
+    /// `None` if the copy broke off.
+    async fn run(&self) -> Option<()> {
+        let mut cursor = Some(CopyCursor::START);
+        let mut first_start = None;
+        let mut parts = 0;
+        while let Some(next) = cursor {
+            let request = MemberRequest::CopyPart { cursor: next };
+            let MemberResponse::Part {
+                start,
+                charges,
+                turns,
+                next,
+                is_complete: true,
+            } = self.send(request).await?
+            else {
+                return None;
+            };
+            if *first_start.get_or_insert(start) != start {
+                return None;
+            }
+            self.store(charges, false).await;
+            let missing = self.process.node.borrow().missing_turns(turns);
+            parts += 1;
+            log::info!(
+                "event=copying source={} part={parts} missing_turns={}",
+                self.source.name,
+                missing.len()
+            );
+            self.copy_turns(&missing).await?;
+            cursor = next;
         }
-        let Ok(MemberResponse::Part {
-            records,
-            next,
-            is_complete: true,
-        }) = response
-        else {
-            return;
-        };
-        if process.node.borrow().group().version != version {
-            return;
+        self.store(Vec::new(), true).await;
+        Some(())
+    }
+
+    /// Copies these turns. Those that the source no longer holds have expired.
+    async fn copy_turns(&self, turns: &[TurnDigest]) -> Option<()> {
+        let mut left = turns;
+        while !left.is_empty() {
+            let requested = &left[..left.len().min(MAX_COPIED_TURNS)];
+            let request = MemberRequest::CopyTurns(requested.to_vec());
+            let MemberResponse::Turns { turns, covered } = self.send(request).await?
+            else {
+                return None;
+            };
+            let covered = usize::try_from(covered).ok()?;
+            left = left.get(covered.max(1)..).unwrap_or_default();
+            let records = turns.into_iter().map(LedgerRecord::Turn).collect();
+            self.store(records, false).await;
+        }
+        Some(())
+    }
+
+    /// Sends a request. `None` if there was no usable response, or the group has changed.
+    async fn send(&self, request: MemberRequest) -> Option<MemberResponse> {
+        let response = self
+            .link
+            .send_request(self.version, request, PART_TIMEOUT_MS)
+            .await;
+        if let Ok(MemberResponse::GroupSuperseded(newer)) = response {
+            self.process.apply(Event::GroupReceived(newer));
+            return None;
         }
-        process.apply(Event::RecordsCopied {
-            source: source.name.clone(),
+        let is_current = self.process.node.borrow().group().version == self.version;
+        response.ok().filter(|_| is_current)
+    }
+
+    /// Stores copied records and waits until they are on disk. `is_last` says that there are no
+    /// more.
+    async fn store(&self, records: Vec<LedgerRecord>, is_last: bool) {
+        let copied = &self.process.copied_records;
+        copied.set(copied.get() + records.len() as u64);
+        self.process.apply(Event::RecordsCopied {
+            source: self.source.name.clone(),
             records,
-            is_last: next.is_none(),
+            is_last,
         });
-        cursor = next;
+        self.process.wait_synced().await;
     }
-    log::info!("event=copied source={}", source.name);
 }
 
 /// Registers the instance, then checks the group periodically: creates, joins or leaves it as
@@ -359,7 +449,7 @@
 
 /// Creates the first group from the instances that have registered. Does nothing if another
 /// instance was faster.
-async fn create_group(process: &StorageProcess) -> Result<(), MetadataError> {
+async fn create_group(process: &Rc<StorageProcess>) -> Result<(), MetadataError> {
     let records = process
         .store
         .internal_records(MEMBER_RECORD_PREFIX, false)
@@ -383,7 +473,7 @@
 
 /// Writes the group's record if its store revision is still `expected_revision`, 0 for no record.
 async fn write_group(
-    process: &StorageProcess,
+    process: &Rc<StorageProcess>,
     group: &Group,
     expected_revision: u64,
 ) -> Result<(), MetadataError> {
@@ -434,7 +524,7 @@
 /// announces it to the members of both versions. Instances that miss the announcement read the
 /// record later.
 async fn change_group(
-    process: &StorageProcess,
+    process: &Rc<StorageProcess>,
     group: &Group,
     revision: u64,
     proposal: Proposal,
@@ -512,25 +602,46 @@
     if group.members.len() >= group.previous.len() {
         return true;
     }
-    let mut cursor = Some(0);
+    let mut cursor = Some(CopyCursor::START);
     while let Some(next) = cursor {
-        let (records, following) = process.node.borrow().copy_part(next);
-        let sends = group.members.iter().map(|member| {
-            let (link, records) = (process.links.to(member), records.clone());
-            async move {
-                let request = MemberRequest::StoreRecords(records);
-                link.send_request(group.version, request, PART_TIMEOUT_MS)
-                    .await
-            }
-        });
-        let responses = futures::future::join_all(sends).await;
-        if !responses
-            .iter()
-            .all(|response| matches!(response, Ok(MemberResponse::Done)))
-        {
+        let part = process.node.borrow().copy_part(&next);
+        if !send_records(process, group, part.charges).await {
             return false;
         }
-        cursor = following;
+        for turns in part.turns.chunks(MAX_HANDED_TURNS) {
+            let locations = turns.iter().filter_map(|turn| process.location(*turn));
+            let Some(turns) = process.read_turns(locations.collect()).await else {
+                return false;
+            };
+            let records = turns.into_iter().map(LedgerRecord::Turn).collect();
+            if !send_records(process, group, records).await {
+                return false;
+            }
+        }
+        cursor = part.next;
     }
     true
 }
+
+/// Sends records to every member, and returns whether all of them stored these.
+async fn send_records(
+    process: &StorageProcess,
+    group: &Group,
+    records: Vec<LedgerRecord>,
+) -> bool {
+    if records.is_empty() {
+        return true;
+    }
+    let sends = group.members.iter().map(|member| {
+        let (link, records) = (process.links.to(member), records.clone());
+        async move {
+            let request = MemberRequest::StoreRecords(records);
+            link.send_request(group.version, request, PART_TIMEOUT_MS)
+                .await
+        }
+    });
+    let responses = futures::future::join_all(sends).await;
+    responses
+        .iter()
+        .all(|response| matches!(response, Ok(MemberResponse::Done)))
+}
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -5,14 +5,19 @@
 
 use bytes::Bytes;
 use jayreel_ledger::{
-    Group, LedgerRecord, LedgerState, Member, MembershipState, RateLimit, RateShare,
-    RateTolerance, Reply, Request, encode_frame, turn_digest,
+    CopyPart, FrameLocation, Group, LedgerRecord, LedgerState, Member, MembershipState,
+    RateLimit, RateShare, RateTolerance, Reply, Request, TurnDigest, TurnRecord,
+    encode_frame, turn_digest,
 };
-use slotmap::new_key_type;
+use slotmap::{SlotMap, new_key_type};
 
+use super::log_state::{LogState, StorageLimits};
+use super::reads::{PendingRead, ReadKey};
+use super::recovery::RecoveredLog;
 use crate::endpoint_view::{EndpointRead, EndpointView};
 use crate::freshness::Freshness;
 use crate::presence::PresenceTracker;
+use crate::turn_cache::TurnCache;
 
 new_key_type! {
     /// A connection from another instance.
@@ -65,9 +70,16 @@
         /// `None` if the revision was known already.
         content: Option<ConfigurationUpdate>,
     },
+    /// The turns of an [`Effect::Read`] were read, in the same order. `None` for a damaged one.
+    TurnsRead {
+        /// The read.
+        key: ReadKey,
+        /// The turns.
+        turns: Vec<Option<TurnRecord>>,
+    },
     /// Endpoints were read from the store.
     EndpointsRead(EndpointRead),
-    /// Sent periodically to remove expired records.
+    /// Sent periodically to remove expired records and to free disk space.
     Tick,
 }
 
@@ -78,6 +90,8 @@
     Append {
         /// Consecutive number of the append, starting at 1.
         number: u64,
+        /// The segment to whose end the frames belong.
+        segment: u32,
         /// Whether to sync at once. Other appends are synced together with the next one that
         /// must be; until then a kill of the process does not lose them, but a power failure
         /// may.
@@ -85,6 +99,18 @@
         /// Encoded records.
         frames: Vec<u8>,
     },
+    /// Read turns from the log, after all appends before.
+    Read {
+        /// Identifies the read in [`Event::TurnsRead`].
+        key: ReadKey,
+        /// Positions of the turns.
+        locations: Vec<FrameLocation>,
+    },
+    /// Remove a segment, once all appends before are on disk.
+    DropSegment {
+        /// Number of the segment.
+        segment: u32,
+    },
     /// Send a reply.
     Reply {
         /// The connection that the request came from.
@@ -94,13 +120,60 @@
     },
 }
 
+/// What a storage instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct NodeOptions {
+    /// Name of the instance.
+    pub name: String,
+    /// The whole system starts for the first time, so that an empty log does not mean a lost
+    /// disk.
+    pub is_first_start: bool,
+    /// Tolerance of customers' rate limits.
+    pub tolerance: RateTolerance,
+    /// Space for records on disk and in memory.
+    pub limits: StorageLimits,
+}
+
+/// Space that records use, for metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StorageUsage {
+    /// Number of turns.
+    pub turns: u64,
+    /// Bytes of all segments.
+    pub log_bytes: u64,
+    /// Bytes of the frames that are needed.
+    pub live_bytes: u64,
+    /// Bytes of the turns in the cache.
+    pub cache_bytes: u64,
+    /// Bytes of the appends that are not on disk yet.
+    pub queued_bytes: u64,
+    /// Bytes of the turns that are being read from the disk.
+    pub read_bytes: u64,
+    /// Requests that were rejected because the disk was full.
+    pub rejected_disk_full: u64,
+    /// Requests that were rejected because too many frames were not on disk yet.
+    pub rejected_queue_full: u64,
+    /// Requests that were rejected because too many turns were being read.
+    pub rejected_reads_full: u64,
+}
+
 /// The state of a storage instance.
 #[derive(Debug)]
 pub struct Node {
-    name: String,
+    pub(super) name: String,
     /// Whether the whole system starts for the first time and the log was empty.
     is_first_start: bool,
     pub(super) state: LedgerState,
+    /// The segments that hold the records of `state`.
+    pub(super) log: LogState,
+    /// The turns that were stored or read last.
+    pub(super) cache: TurnCache,
+    /// Reads from the disk that have not ended.
+    pub(super) reads: SlotMap<ReadKey, PendingRead>,
+    /// Bytes of the frames in `reads`.
+    pub(super) read_bytes: usize,
+    /// Identifies this start of the instance to others, for cursors.
+    pub(super) start: u64,
     /// The newest group known. Version 0 without members until one is received.
     pub(super) group: Group,
     /// Role of this instance in `group`.
@@ -134,38 +207,42 @@
 
 impl Node {
     /// Creates the state of an instance that starts with the records of its log.
-    /// `is_first_start` says that the whole system starts for the first time, so that an empty
-    /// log does not mean a lost disk.
-    pub fn new(
-        name: &str,
-        is_first_start: bool,
-        now_ms: u64,
-        tolerance: RateTolerance,
-        records: &[LedgerRecord],
-    ) -> Node {
-        let mut state = LedgerState::default();
-        for record in records {
-            state.merge(now_ms, record);
-        }
+    pub fn new(options: NodeOptions, now_ms: u64, recovered: RecoveredLog) -> Node {
+        let NodeOptions {
+            name,
+            is_first_start,
+            tolerance,
+            limits,
+        } = options;
+        let mut state = recovered.state;
         state.restart(now_ms);
         let mut rates = RateShare::new(now_ms, tolerance);
         for (at_ms, customer, count) in state.grants() {
             rates.restore(at_ms, customer, count);
         }
-        if records.is_empty() && !is_first_start {
+        let is_empty = recovered.records == 0;
+        if recovered.is_damaged {
+            state.mark_incomplete();
+        }
+        if is_empty && !is_first_start || recovered.is_damaged {
             rates.block_since(now_ms);
         }
+        let start = turn_digest(&format!("{name}/{now_ms}"));
         Node {
-            name: name.to_string(),
-            is_first_start: is_first_start && records.is_empty(),
+            is_first_start: is_first_start && is_empty,
             state,
+            log: LogState::new(limits, recovered.written_bytes),
+            cache: TurnCache::new(limits.cache_bytes),
+            reads: SlotMap::with_key(),
+            read_bytes: 0,
+            start,
             group: Group::default(),
             membership: MembershipState::Spare,
             rates,
             started_ms: now_ms,
             previous_shares: None,
             freshness: Freshness::default(),
-            endpoints: EndpointView::new(turn_digest(&format!("{name}/{now_ms}"))),
+            endpoints: EndpointView::new(start),
             presence: PresenceTracker::default(),
             configuration: Bytes::new(),
             configuration_revision: 0,
@@ -173,6 +250,7 @@
             last_sync_required: 0,
             last_synced: 0,
             pending_replies: VecDeque::new(),
+            name,
         }
     }
 
@@ -209,11 +287,6 @@
         }
     }
 
-    /// All records, for a compacted log.
-    pub fn records(&self) -> Vec<LedgerRecord> {
-        self.state.records()
-    }
-
     /// Applies an event, and returns the effects in the order in which to carry them out.
     pub fn apply(&mut self, now_ms: u64, event: Event) -> Vec<Effect> {
         match event {
@@ -221,7 +294,11 @@
                 connection,
                 request,
             } => self.handle_request(now_ms, connection, request),
-            Event::Synced { through } => self.release_replies(through),
+            Event::Synced { through } => {
+                self.log.record_synced(through);
+                self.release_replies(through)
+            }
+            Event::TurnsRead { key, turns } => self.turns_read(now_ms, key, turns),
             Event::GroupReceived(group) => self.adopt_group(now_ms, group),
             Event::RecordsCopied {
                 source,
@@ -242,7 +319,7 @@
             }
             Event::Tick => {
                 self.state.expire(now_ms);
-                Vec::new()
+                self.clean(now_ms)
             }
         }
     }
@@ -267,14 +344,29 @@
         effects
     }
 
-    /// Encodes records for the log. Returns `None` if one cannot be encoded.
+    /// Encodes records for the log and notes their positions. Returns `None` if there are none,
+    /// or one cannot be encoded.
     pub(super) fn append(&mut self, records: &[LedgerRecord]) -> Option<Effect> {
+        if records.is_empty() {
+            return None;
+        }
+        let (segment, start) = self.log.next_position();
         let mut frames = Vec::new();
+        let mut locations = Vec::with_capacity(records.len());
         for record in records {
+            let offset = frames.len();
             if let Err(error) = encode_frame(record, &mut frames) {
                 log::error!("event=fact_unwritable reason={error:?}");
                 return None;
             }
+            locations.push(FrameLocation {
+                segment,
+                offset: start + u32::try_from(offset).unwrap_or(u32::MAX),
+                frame_bytes: u32::try_from(frames.len() - offset).unwrap_or(u32::MAX),
+            });
+        }
+        for (record, location) in records.iter().zip(locations) {
+            self.state.locate(record, location);
         }
         // Grants alone are not worth a sync: a power failure costs more than the grants of the
         // last few milliseconds.
@@ -285,13 +377,59 @@
         if must_sync {
             self.last_sync_required = self.last_append;
         }
+        self.log
+            .record_append(self.last_append, segment, frames.len());
         Some(Effect::Append {
             number: self.last_append,
+            segment,
             must_sync,
             frames,
         })
     }
 
+    /// Space that the records use.
+    pub fn usage(&self) -> StorageUsage {
+        StorageUsage {
+            turns: self.state.turn_count() as u64,
+            log_bytes: self.log.total_bytes(),
+            live_bytes: self.state.total_live_bytes(),
+            cache_bytes: self.cache.size_bytes() as u64,
+            queued_bytes: self.log.queued_bytes() as u64,
+            read_bytes: self.read_bytes as u64,
+            rejected_disk_full: self.log.disk_gate.rejected,
+            rejected_queue_full: self.log.queue_gate.rejected,
+            rejected_reads_full: self.log.read_gate.rejected,
+        }
+    }
+
+    /// Number of the last append that must be synced.
+    pub fn last_sync_required(&self) -> u64 {
+        self.last_sync_required
+    }
+
+    /// Number of the last append that is on disk.
+    pub fn last_synced(&self) -> u64 {
+        self.last_synced
+    }
+
+    /// The turns among these that this instance does not hold.
+    pub fn missing_turns(&self, turns: Vec<TurnDigest>) -> Vec<TurnDigest> {
+        let missing = turns.into_iter();
+        missing
+            .filter(|turn| self.state.location(*turn).is_none())
+            .collect()
+    }
+
+    /// Returns one part of a copy of all shared records.
+    pub fn copy_part(&self, cursor: &jayreel_ledger::CopyCursor) -> CopyPart {
+        self.state.copy_part(cursor)
+    }
+
+    /// Position of a turn in the log.
+    pub fn location(&self, turn: TurnDigest) -> Option<FrameLocation> {
+        self.state.location(turn)
+    }
+
     /// Sends the replies that waited for appends up to `through`, which are on disk.
     fn release_replies(&mut self, through: u64) -> Vec<Effect> {
         self.last_synced = self.last_synced.max(through);
@@ -354,10 +492,7 @@
             .filter(|record| self.state.merge(now_ms, record))
             .cloned()
             .collect();
-        let mut effects: Vec<Effect> = match new_records.is_empty() {
-            true => Vec::new(),
-            false => self.append(&new_records).into_iter().collect(),
-        };
+        let mut effects: Vec<Effect> = self.append(&new_records).into_iter().collect();
         if let (MembershipState::CatchingUp(progress), true) =
             (&mut self.membership, is_last)
         {
--- a/crates/gateway/src/storage/requests.rs
+++ b/crates/gateway/src/storage/requests.rs
@@ -8,16 +8,7 @@
 
 use super::node::{ConnectionKey, Effect, Node};
 
-/// Size of a part when all records are copied, in bytes of the turns' inputs and outputs.
-const PART_BYTES: usize = 512 << 10;
-
 impl Node {
-    /// Returns one part of the shared records for another instance, see
-    /// [`jayreel_ledger::LedgerState::copy_part`].
-    pub fn copy_part(&self, cursor: u64) -> (Vec<LedgerRecord>, Option<u64>) {
-        self.state.copy_part(cursor, PART_BYTES)
-    }
-
     /// Handles a request. Responses that confirm a write are sent once it is on disk, all
     /// others at once.
     pub(super) fn handle_request(
@@ -36,7 +27,8 @@
             connection: to,
             reply: reply(body),
         };
-        if let Some(response) = self.reject(group_version, &body) {
+        let rejection = self.reject(group_version, &body);
+        if let Some(response) = rejection.or_else(|| self.reject_write(now_ms, &body)) {
             return vec![reply_now(response)];
         }
         match body {
@@ -50,6 +42,7 @@
                 self.merge_and_reply(now_ms, &[record], to, reply(MemberResponse::Done))
             }
             MemberRequest::StoreTurn(turn) => {
+                self.cache.insert(turn.clone());
                 let record = LedgerRecord::Turn(turn);
                 self.merge_and_reply(now_ms, &[record], to, reply(MemberResponse::Done))
             }
@@ -75,10 +68,44 @@
                 }
                 effects
             }
+            MemberRequest::Chain {
+                turn,
+                max_chain_turns,
+            } => self.send_chain(now_ms, to, id, &turn, max_chain_turns),
+            MemberRequest::CopyTurns(turns) => self.send_copies(now_ms, to, id, &turns),
             body => vec![reply_now(self.read(now_ms, body))],
         }
     }
 
+    /// Returns the response to a write that does not fit into memory or onto the disk, and
+    /// `None` to all others. Turns that may already run keep room when new ones are rejected.
+    fn reject_write(
+        &mut self,
+        now_ms: u64,
+        request: &MemberRequest,
+    ) -> Option<MemberResponse> {
+        let new_bytes = match request {
+            MemberRequest::Reserve(_) => 0,
+            MemberRequest::StoreTurn(turn) => turn.input.len() + turn.output.len(),
+            MemberRequest::StoreRecords(records) => stored_bytes(records),
+            _ => return None,
+        };
+        let queued_bytes = self.log.queued_bytes();
+        let is_queue_full = queued_bytes > self.log.limits().queue_bytes;
+        let queue_gate = &mut self.log.queue_gate;
+        if queue_gate.rejects(now_ms, is_queue_full, queued_bytes as u64) {
+            return Some(MemberResponse::Unavailable);
+        }
+        let has_room = match request {
+            MemberRequest::Reserve(_) => self.log.has_room_for_new_turns(),
+            _ => self.log.has_room(new_bytes as u64),
+        };
+        let used_bytes = self.log.total_bytes();
+        let disk_gate = &mut self.log.disk_gate;
+        let is_disk_full = disk_gate.rejects(now_ms, !has_room, used_bytes);
+        is_disk_full.then_some(MemberResponse::StorageFull)
+    }
+
     /// Merges a reservation. Returns whether it is new, and the response to send once it is on
     /// disk.
     fn reserve(
@@ -112,6 +139,7 @@
                 | MemberRequest::Chain { .. }
                 | MemberRequest::TakeQuota { .. }
                 | MemberRequest::CopyPart { .. }
+                | MemberRequest::CopyTurns(_)
         );
         match needs_group {
             false => None,
@@ -121,7 +149,7 @@
             true if group_version > self.group.version => {
                 Some(MemberResponse::Unavailable)
             }
-            true if matches!(request, MemberRequest::CopyPart { .. }) => None,
+            true if is_copy(request) => None,
             true if self.membership == MembershipState::Spare => {
                 Some(MemberResponse::NotVoting)
             }
@@ -135,24 +163,7 @@
             MemberRequest::Charges(program) if self.is_voting() => {
                 MemberResponse::Charges(self.state.charges(&program))
             }
-            MemberRequest::Chain {
-                turn,
-                max_chain_turns,
-            } => {
-                let chain = self.state.chain(now_ms, &turn, max_chain_turns);
-                match chain.turns.is_empty() && !self.is_voting() {
-                    true => MemberResponse::NotVoting,
-                    false => MemberResponse::Chain(chain.turns),
-                }
-            }
-            MemberRequest::CopyPart { cursor } => {
-                let (records, next) = self.copy_part(cursor);
-                MemberResponse::Part {
-                    records,
-                    next,
-                    is_complete: self.is_voting() || self.was_complete_recently(),
-                }
-            }
+            MemberRequest::CopyPart { cursor } => self.share_part(&cursor),
             MemberRequest::Status => MemberResponse::Status {
                 is_voting: self.is_voting(),
                 group_version: self.group.version,
@@ -170,7 +181,7 @@
 
     /// Whether the instance held all records of this version of the group or of the previous
     /// one. A member that has just left still does, and can be copied from.
-    fn was_complete_recently(&self) -> bool {
+    pub(super) fn was_complete_recently(&self) -> bool {
         let version = self.state.complete_version();
         version.is_some_and(|version| version + 1 >= self.group.version)
     }
@@ -300,3 +311,20 @@
         self.append_and_reply(!new_records.is_empty(), &new_records, to, reply)
     }
 }
+
+/// Whether the request copies records. An instance that is no member may be copied from.
+fn is_copy(request: &MemberRequest) -> bool {
+    matches!(
+        request,
+        MemberRequest::CopyPart { .. } | MemberRequest::CopyTurns(_)
+    )
+}
+
+/// Bytes of the inputs and outputs of the turns among the records.
+fn stored_bytes(records: &[LedgerRecord]) -> usize {
+    let bytes = records.iter().map(|record| match record {
+        LedgerRecord::Turn(turn) => turn.input.len() + turn.output.len(),
+        _ => 0,
+    });
+    bytes.sum()
+}
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -4,12 +4,12 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use eyre::OptionExt;
+use eyre::{OptionExt, ensure};
 use futures::StreamExt;
-use jayreel_ledger::{Member, Reply, encode_frame};
+use jayreel_ledger::{FrameLocation, Member, Reply, TurnDigest, TurnRecord};
 use slotmap::SlotMap;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::clock::now_ms;
 use crate::directory::MetadataStore;
@@ -17,11 +17,18 @@
 use crate::link::{LinkPool, accept as split, decode_request, write_messages};
 use crate::settings::NodeSettings;
 use crate::storage::disk::Disk;
+use crate::storage::log_state::StorageLimits;
 use crate::storage::maintenance;
-use crate::storage::node::{ConnectionKey, Effect, Event, Node};
+use crate::storage::node::{ConnectionKey, Effect, Event, Node, NodeOptions};
+use crate::storage::reads::ReadKey;
+use crate::storage::replies::{QueuedReply, ReplyBudget};
 
-/// The log is compacted once it fills the disk's limit divided by this.
-const COMPACTION_DIVISOR: u64 = 4;
+/// Least memory of a storage instance, in megabytes: the process, its connections, and one turn
+/// of the largest size in each of its buffers.
+const MIN_MEMORY_MB: u64 = 48;
+
+/// Least disk space of a storage instance, in megabytes.
+const MIN_DISK_MB: u64 = 16;
 
 /// State of the process, shared by its tasks.
 pub(crate) struct StorageProcess {
@@ -29,13 +36,17 @@
     pub store: Box<dyn MetadataStore>,
     pub node: RefCell<Node>,
     disk: Disk,
-    /// Bytes appended to the log since the start or the last compaction.
-    logged_bytes: Cell<u64>,
+    /// Notified after each sync of the log.
+    synced: Notify,
     /// Whether the group was read from the store since the start. Groups that other instances
     /// announced do not count.
     pub has_read_group: Cell<bool>,
     /// Reply queues of the open connections from other instances.
-    connections: RefCell<SlotMap<ConnectionKey, mpsc::UnboundedSender<Reply>>>,
+    connections: RefCell<SlotMap<ConnectionKey, mpsc::UnboundedSender<QueuedReply>>>,
+    /// Memory of the replies in these queues.
+    reply_budget: Rc<ReplyBudget>,
+    /// Records copied from other members since the start.
+    pub copied_records: Cell<u64>,
     /// Connections to other storage instances.
     pub links: LinkPool,
 }
@@ -52,20 +63,32 @@
 ) -> eyre::Result<()> {
     let folder = settings.data_dir.clone();
     let folder = folder.ok_or_eyre("the settings name no data folder")?;
-    let (disk, records, synced) = Disk::open(&folder)?;
-    let node = Node::new(
-        &settings.name,
-        settings.is_first_start,
-        now_ms(),
-        settings.bounds.rate_tolerance,
-        &records,
+    let space = settings.limits;
+    ensure!(
+        space.memory_mb >= MIN_MEMORY_MB,
+        "limits: the memory of {} MB is below {MIN_MEMORY_MB} MB",
+        space.memory_mb
+    );
+    ensure!(
+        space.disk_mb >= MIN_DISK_MB,
+        "limits: the disk of {} MB is below {MIN_DISK_MB} MB",
+        space.disk_mb
     );
+    let limits = StorageLimits::new(space.disk_mb, space.memory_mb);
+    let (disk, log, synced) = Disk::open(&folder, now_ms(), limits.segment_bytes)?;
     log::info!(
-        "event=started role=storage name={} facts={}",
+        "event=started role=storage name={} facts={} damaged={}",
         settings.name,
-        records.len()
+        log.records(),
+        log.is_damaged()
     );
-    drop(records);
+    let options = NodeOptions {
+        name: settings.name.clone(),
+        is_first_start: settings.is_first_start,
+        tolerance: settings.bounds.rate_tolerance,
+        limits,
+    };
+    let node = Node::new(options, now_ms(), log);
     let listener = listen(settings.internal)?;
     let metrics = listen(settings.metrics)?;
     let process = Rc::new(StorageProcess {
@@ -73,9 +96,11 @@
         store,
         node: RefCell::new(node),
         disk,
-        logged_bytes: Cell::new(0),
+        synced: Notify::new(),
         has_read_group: Cell::new(false),
         connections: RefCell::default(),
+        reply_budget: Rc::new(ReplyBudget::new(limits.reply_bytes)),
+        copied_records: Cell::new(0),
         links: LinkPool::default(),
     });
     maintenance::start(&process);
@@ -106,6 +131,7 @@
 ) {
     while let Some(through) = synced.recv().await {
         process.apply(Event::Synced { through });
+        process.synced.notify_waiters();
     }
 }
 
@@ -140,53 +166,108 @@
     }
 
     /// Applies an event to the reducer and carries out its effects.
-    pub(crate) fn apply(&self, event: Event) {
+    pub(crate) fn apply(self: &Rc<Self>, event: Event) {
         let effects = self.node.borrow_mut().apply(now_ms(), event);
         for effect in effects {
             match effect {
                 Effect::Append {
                     number,
+                    segment,
                     must_sync,
                     frames,
-                } => {
-                    let bytes = u64::try_from(frames.len()).unwrap_or(u64::MAX);
-                    self.logged_bytes.set(self.logged_bytes.get() + bytes);
-                    self.disk.append(number, must_sync, frames);
-                }
-                Effect::Reply { connection, reply } => {
-                    let connections = self.connections.borrow();
-                    // The connection may have closed since, and the reply is dropped.
-                    let _ = connections.get(connection).map(|sender| sender.send(reply));
-                }
+                } => self.disk.append(number, segment, must_sync, frames),
+                Effect::Read { key, locations } => self.start_read(key, locations),
+                Effect::DropSegment { segment } => self.disk.drop_segment(segment),
+                Effect::Reply { connection, reply } => self.send(connection, reply),
             }
         }
-        self.compact_if_large();
     }
 
-    /// Replaces the log by the present records once it has grown too large.
-    fn compact_if_large(&self) {
-        let max_bytes = (self.settings.limits.disk_mb << 20) / COMPACTION_DIVISOR;
-        if self.logged_bytes.get() < max_bytes {
+    /// Queues a reply. Drops it if the connection has closed, and closes the connection if too
+    /// many replies wait for receivers that do not read.
+    fn send(&self, connection: ConnectionKey, reply: Reply) {
+        let mut connections = self.connections.borrow_mut();
+        let Some(sender) = connections.get(connection) else {
             return;
+        };
+        let reply = QueuedReply::new(reply, &self.reply_budget);
+        let is_over = self.reply_budget.is_exceeded();
+        let _ = sender.send(reply);
+        if is_over {
+            log::warn!(
+                "event=connection_cut reason=unsent_replies used_bytes={}",
+                self.reply_budget.used_bytes()
+            );
+            connections.remove(connection);
         }
-        let mut frames = Vec::new();
-        for record in self.node.borrow().records() {
-            if let Err(error) = encode_frame(&record, &mut frames) {
-                log::error!("event=fact_unwritable reason={error:?}");
+    }
+
+    /// Reads turns and passes them to the reducer.
+    fn start_read(self: &Rc<Self>, key: ReadKey, locations: Vec<FrameLocation>) {
+        let process = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let count = locations.len();
+            let turns = process.disk.read(locations).await;
+            // The process ends if the disk has failed.
+            let turns = turns.unwrap_or_else(|_| vec![None; count]);
+            process.apply(Event::TurnsRead { key, turns });
+        });
+    }
+
+    /// Position of a turn in the log.
+    pub(crate) fn location(&self, turn: TurnDigest) -> Option<FrameLocation> {
+        self.node.borrow().location(turn)
+    }
+
+    /// Reads turns from the disk. `None` if one of them is damaged or the disk has failed.
+    pub(crate) async fn read_turns(
+        &self,
+        locations: Vec<FrameLocation>,
+    ) -> Option<Vec<TurnRecord>> {
+        let turns = self.disk.read(locations).await.ok()?;
+        turns.into_iter().collect()
+    }
+
+    /// Waits until all records that the instance has now are on disk.
+    pub(crate) async fn wait_synced(&self) {
+        let number = self.node.borrow().last_sync_required();
+        loop {
+            let synced = self.synced.notified();
+            if self.node.borrow().last_synced() >= number {
                 return;
             }
+            synced.await;
         }
-        self.logged_bytes.set(0);
-        self.disk.replace(frames);
     }
 
     fn metrics_text(&self) -> String {
         let node = self.node.borrow();
-        format!(
-            "# TYPE jayreel_storage_voting gauge\njayreel_storage_voting {}\n\
-             # TYPE jayreel_storage_group_version gauge\njayreel_storage_group_version {}\n",
-            u8::from(node.is_voting()),
-            node.group().version
-        )
+        let usage = node.usage();
+        let gauges = [
+            ("voting", u64::from(node.is_voting())),
+            ("group_version", node.group().version),
+            ("turns", usage.turns),
+            ("log_bytes", usage.log_bytes),
+            ("live_bytes", usage.live_bytes),
+            ("cache_bytes", usage.cache_bytes),
+            ("queued_bytes", usage.queued_bytes),
+            ("read_bytes", usage.read_bytes),
+            ("reply_bytes", self.reply_budget.used_bytes() as u64),
+        ];
+        let counters = [
+            ("copied_records", self.copied_records.get()),
+            ("rejected_disk_full", usage.rejected_disk_full),
+            ("rejected_queue_full", usage.rejected_queue_full),
+            ("rejected_reads_full", usage.rejected_reads_full),
+        ];
+        let gauges = gauges.iter().map(|(name, value)| {
+            let name = format!("jayreel_storage_{name}");
+            format!("# TYPE {name} gauge\n{name} {value}\n")
+        });
+        let counters = counters.iter().map(|(name, value)| {
+            let name = format!("jayreel_storage_{name}_total");
+            format!("# TYPE {name} counter\n{name} {value}\n")
+        });
+        gauges.chain(counters).collect()
     }
 }
--- a/crates/gateway/src/turn_cache.rs
+++ b/crates/gateway/src/turn_cache.rs
@@ -1,37 +1,52 @@
-//! Cache of the turns that this instance has handled or read, so that most prompts can be built
-//! without a request to the storage group.
+//! Cache of finished turns: at an entry instance those that it handled or read, so that most
+//! prompts are built without a request to the storage group, and at a storage instance those
+//! that were stored last, so that most requests need no read from the disk.
 
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use jayreel_ledger::TurnRecord;
-
-/// Maximum size of the cache, in bytes: a few hundred conversations of ten turns of 3 KB.
-const MAX_CACHE_BYTES: usize = 8 << 20;
+use jayreel_ledger::{TurnDigest, TurnRecord};
 
 /// Turns by identifier. When the cache is full, the turns that were inserted first are evicted.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct TurnCache {
-    turns: HashMap<String, Rc<TurnRecord>>,
-    /// Identifiers in the order of insertion.
-    insertion_order: VecDeque<String>,
+    turns: HashMap<TurnDigest, Rc<TurnRecord>>,
+    insertion_order: VecDeque<TurnDigest>,
+    /// Sum over `turns`. At most `max_bytes`.
     size_bytes: usize,
+    max_bytes: usize,
 }
 
 impl TurnCache {
-    pub(crate) fn get(&self, turn: &str) -> Option<Rc<TurnRecord>> {
-        self.turns.get(turn).cloned()
+    /// Creates an empty cache for turns of up to `max_bytes` together.
+    pub(crate) fn new(max_bytes: usize) -> TurnCache {
+        TurnCache {
+            turns: HashMap::new(),
+            insertion_order: VecDeque::new(),
+            size_bytes: 0,
+            max_bytes,
+        }
+    }
+
+    pub(crate) fn get(&self, turn: TurnDigest) -> Option<Rc<TurnRecord>> {
+        self.turns.get(&turn).cloned()
+    }
+
+    /// Approximate memory that the turns use, in bytes.
+    pub(crate) fn size_bytes(&self) -> usize {
+        self.size_bytes
     }
 
     pub(crate) fn insert(&mut self, record: TurnRecord) {
-        if self.turns.contains_key(&record.turn) {
+        let turn = TurnDigest::of(&record.turn);
+        if self.turns.contains_key(&turn) {
             return;
         }
         self.size_bytes += size_bytes(&record);
-        self.insertion_order.push_back(record.turn.clone());
-        self.turns.insert(record.turn.clone(), Rc::new(record));
-        while self.size_bytes > MAX_CACHE_BYTES {
+        self.insertion_order.push_back(turn);
+        self.turns.insert(turn, Rc::new(record));
+        while self.size_bytes > self.max_bytes {
             let Some(oldest) = self.insertion_order.pop_front() else {
                 return;
             };
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admission;
 mod group;
+mod legacy_log;
 mod log;
 mod message;
 mod rate;
@@ -20,14 +21,18 @@
 
 pub use admission::{BudgetCheck, Decision, Phase};
 pub use group::{CatchUp, Group, Member, MembershipState};
-pub use log::{decode_frames, encode_frame};
+pub use legacy_log::read_legacy_record;
+pub use log::{
+    BodyChecksum, FRAME_HEADER_BYTES, FrameHeader, FrameLocation, LogEntry, TurnHead,
+    decode_turn, encode_frame,
+};
 pub use message::{
     EndpointCursor, MemberRequest, MemberResponse, QuotaRequest, Reply, Request,
     SharedConfiguration, SharedEndpoints, TurnBudget, ZonePresence,
 };
 pub use rate::{QuotaPurpose, RateLimit, RateShare, RateTolerance};
 pub use record::{
-    ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnRecord,
-    turn_digest,
+    ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnDigest,
+    TurnRecord, turn_digest,
 };
-pub use state::{Chain, LedgerState};
+pub use state::{CopyCursor, CopyPart, LedgerState};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -8,8 +8,9 @@
 use crate::group::Group;
 use crate::rate::{QuotaPurpose, RateLimit};
 use crate::record::{
-    ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnRecord,
+    ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnDigest, TurnRecord,
 };
+use crate::state::CopyCursor;
 
 /// A request, with what identifies it on its connection.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -90,10 +91,11 @@
         /// At most one entry for each customer.
         quota_requests: Vec<QuotaRequest>,
     },
-    /// Read one part of all records, see [`crate::LedgerState::copy_part`].
+    /// Read one part of all charges and of the digests of all turns, see
+    /// [`crate::LedgerState::copy_part`].
     CopyPart {
-        /// 0 for the first part, then the cursor from the response before.
-        cursor: u64,
+        /// [`CopyCursor::START`], then the cursor from the response before.
+        cursor: CopyCursor,
     },
     /// Check that the instance is reachable, and whether it votes.
     Status,
@@ -112,6 +114,8 @@
         /// Cursor from the sender's last response.
         known: EndpointCursor,
     },
+    /// Read turns, for a copy.
+    CopyTurns(Vec<TurnDigest>),
 }
 
 /// A position in the sequence of endpoint changes that one storage instance serves.
@@ -171,12 +175,16 @@
     Chain(Vec<TurnRecord>),
     /// Number of requests granted for each entry of the request, in the same order.
     Quota(Vec<u32>),
-    /// One part of all records.
+    /// One part of all charges and of the digests of all turns.
     Part {
-        /// The records.
-        records: Vec<LedgerRecord>,
+        /// Changes with each start of the member, after which cursors have no meaning.
+        start: u64,
+        /// The charges of some programs.
+        charges: Vec<LedgerRecord>,
+        /// Digests of some turns.
+        turns: Vec<TurnDigest>,
         /// Cursor of the next part. `None` after the last one.
-        next: Option<u64>,
+        next: Option<CopyCursor>,
         /// Whether the member holds all records of its group.
         is_complete: bool,
     },
@@ -202,4 +210,14 @@
     /// The instance cannot respond to this request at the moment, for instance because it knows
     /// only an older version of the group than the sender.
     Unavailable,
+    /// Turns for a copy, in the order of the request.
+    Turns {
+        /// Those that the member still holds.
+        turns: Vec<TurnRecord>,
+        /// How many digests of the request, from its start, this response covers. At least
+        /// one; the rest did not fit.
+        covered: u32,
+    },
+    /// The member's disk has no room for the records. They were not written.
+    StorageFull,
 }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -115,6 +115,22 @@
     }
 }
 
+/// Identifies a turn in the index and between members: the first 128 bits of the BLAKE3 hash of
+/// its request identifier.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct TurnDigest([u8; 16]);
+
+impl TurnDigest {
+    /// The digest of a request identifier. The same on every instance.
+    pub fn of(turn: &str) -> TurnDigest {
+        let hash = blake3::hash(turn.as_bytes());
+        let (digest, _) = hash.as_bytes().split_first_chunk().expect("32 bytes");
+        TurnDigest(*digest)
+    }
+}
+
 /// Returns the first 64 bits of the BLAKE3 hash of a turn's request identifier, which are the
 /// same on every instance.
 pub fn turn_digest(turn: &str) -> u64 {
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -1,10 +1,18 @@
 //! The merged records of one storage instance, indexed for readers.
+//!
+//! The inputs and outputs of turns are not held in memory: the index has the position of each
+//! turn's frame in the log.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::ops::Bound;
 
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::log::{FrameLocation, LogEntry};
 use crate::record::{
-    ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnRecord,
-    turn_digest,
+    ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnDigest,
+    TurnRecord, turn_digest,
 };
 
 /// How long the charges of a program are kept after the last change to them, in milliseconds.
@@ -16,6 +24,12 @@
 /// window over which a rate limit is agreed.
 const GRANT_RETENTION_MS: u64 = 30_000;
 
+/// Number of charges in one part of a copy, beyond which it ends with the current program.
+const CHARGES_PER_PART: usize = 2_000;
+
+/// Number of turns in one part of a copy.
+const TURNS_PER_PART: usize = 4_000;
+
 /// The charge of one turn.
 #[derive(Debug)]
 struct Charge {
@@ -24,6 +38,8 @@
     is_settled: bool,
     /// Request identifier of the turn.
     turn: String,
+    /// Position of the newest record of the charge.
+    location: FrameLocation,
 }
 
 /// The charges of one program.
@@ -35,41 +51,81 @@
     updated_ms: u64,
 }
 
-#[derive(Debug)]
+/// A turn in the index.
+#[derive(Clone, Copy, Debug)]
 struct StoredTurn {
-    record: TurnRecord,
+    previous: Option<TurnDigest>,
+    location: FrameLocation,
+    retention_ms: u64,
     /// Insertion number of the turn. Unique.
     sequence: u64,
     /// When the turn is removed, in milliseconds, unless it is used before.
     expires_ms: u64,
 }
 
-/// The turns of one conversation that an instance holds.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Chain {
-    /// Newest turn first.
-    pub turns: Vec<TurnRecord>,
+/// A grant that this instance made.
+#[derive(Debug)]
+struct Grant {
+    at_ms: u64,
+    customer: String,
+    count: u32,
+    /// The segment that holds its record.
+    segment: u32,
+}
+
+/// A position in a copy of all shared records. The charges come first, then the turns in the
+/// order in which they were added.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CopyCursor {
+    /// The programs after this one, or all of them.
+    Charges {
+        /// The last program of the part before.
+        after: Option<ProgramKey>,
+    },
+    /// The turns from this insertion number on.
+    Turns {
+        /// Insertion number at the instance that is copied. It has no meaning after a restart.
+        from_sequence: u64,
+    },
+}
+
+impl CopyCursor {
+    /// The start of a copy.
+    pub const START: CopyCursor = CopyCursor::Charges { after: None };
+}
+
+/// One part of a copy: records of charges, and digests of turns.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CopyPart {
+    /// The charges of some programs.
+    pub charges: Vec<LedgerRecord>,
+    /// Digests of some turns.
+    pub turns: Vec<TurnDigest>,
+    /// Cursor of the next part. `None` after the last one.
+    pub next: Option<CopyCursor>,
 }
 
 /// All records that one instance holds, merged.
 #[derive(Debug, Default)]
 pub struct LedgerState {
-    programs: HashMap<ProgramKey, ProgramCharges>,
-    /// Turns by request identifier.
-    turns: HashMap<String, StoredTurn>,
-    /// Request identifiers of all `turns` by insertion number.
-    turns_by_sequence: BTreeMap<u64, String>,
+    programs: BTreeMap<ProgramKey, ProgramCharges>,
+    turns: HashMap<TurnDigest, StoredTurn>,
+    /// Keys of `turns` by insertion number.
+    turns_by_sequence: BTreeMap<u64, TurnDigest>,
     next_sequence: u64,
     /// Newest version of the group for which the records were complete.
     complete_version: Option<u64>,
-    /// Time in milliseconds, customer and number of requests of each grant that this instance
-    /// made, oldest first.
-    grants: VecDeque<(u64, String, u32)>,
+    /// Grants that this instance made, oldest first.
+    grants: VecDeque<Grant>,
+    /// Bytes of the frames of `programs` and `turns` in each segment. Segments without such
+    /// frames have no entry.
+    live_bytes: BTreeMap<u32, u64>,
 }
 
 impl LedgerState {
     /// Merges a record, whose retention time starts at `now_ms`. Returns whether it contained
-    /// anything new, so that it must be written to the log.
+    /// anything new, so that it must be written to the log. If it was, its position must be
+    /// set with [`LedgerState::locate`].
     pub fn merge(&mut self, now_ms: u64, record: &LedgerRecord) -> bool {
         match record {
             LedgerRecord::Reserved(reservation) => self.reserve(now_ms, reservation),
@@ -80,7 +136,12 @@
                 customer,
                 count,
             } => {
-                self.grants.push_back((*at_ms, customer.clone(), *count));
+                self.grants.push_back(Grant {
+                    at_ms: *at_ms,
+                    customer: customer.clone(),
+                    count: *count,
+                    segment: 0,
+                });
                 self.remove_old_grants(*at_ms);
                 true
             }
@@ -92,20 +153,113 @@
         }
     }
 
+    /// Sets the position of the newest record of a charge, turn or grant.
+    pub fn locate(&mut self, record: &LedgerRecord, location: FrameLocation) {
+        let known = match record {
+            LedgerRecord::Reserved(Reservation { program, turn, .. })
+            | LedgerRecord::Settled(Settlement { program, turn, .. }) => {
+                let charges = self.programs.get_mut(program);
+                let charge =
+                    charges.and_then(|all| all.by_turn.get_mut(&turn_digest(turn)));
+                charge.map(|charge| &mut charge.location)
+            }
+            LedgerRecord::Turn(turn) => {
+                let stored = self.turns.get_mut(&TurnDigest::of(&turn.turn));
+                stored.map(|stored| &mut stored.location)
+            }
+            LedgerRecord::Granted { .. } => {
+                let last = self.grants.back_mut();
+                last.into_iter()
+                    .for_each(|grant| grant.segment = location.segment);
+                None
+            }
+            LedgerRecord::Complete { .. } => None,
+        };
+        let Some(known) = known else { return };
+        let old = std::mem::replace(known, location);
+        self.remove_live_bytes(old);
+        *self.live_bytes.entry(location.segment).or_default() +=
+            u64::from(location.frame_bytes);
+    }
+
+    fn remove_live_bytes(&mut self, location: FrameLocation) {
+        let Some(bytes) = self.live_bytes.get_mut(&location.segment) else {
+            return;
+        };
+        *bytes = bytes.saturating_sub(u64::from(location.frame_bytes));
+        if *bytes == 0 {
+            self.live_bytes.remove(&location.segment);
+        }
+    }
+
+    /// Notes that the grants whose records are in one segment were written to another.
+    pub fn move_grants(&mut self, from_segment: u32, to_segment: u32) {
+        let grants = self.grants.iter_mut();
+        grants
+            .filter(|grant| grant.segment == from_segment)
+            .for_each(|grant| grant.segment = to_segment);
+    }
+
+    /// Bytes of the frames in a segment that are needed.
+    pub fn live_bytes(&self, segment: u32) -> u64 {
+        self.live_bytes.get(&segment).copied().unwrap_or(0)
+    }
+
+    /// Bytes of all frames that are needed.
+    pub fn total_live_bytes(&self) -> u64 {
+        self.live_bytes.values().sum()
+    }
+
+    /// Number of turns.
+    pub fn turn_count(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Merges an entry that was read from the log. A later entry for the same turn or charge
+    /// takes the place of the earlier one.
+    pub fn recover(&mut self, now_ms: u64, entry: LogEntry, location: FrameLocation) {
+        let record = match entry {
+            LogEntry::Reserved(reservation) => LedgerRecord::Reserved(reservation),
+            LogEntry::Settled(settlement) => LedgerRecord::Settled(settlement),
+            LogEntry::Turn(head) => LedgerRecord::Turn(TurnRecord {
+                turn: head.turn,
+                customer: head.customer,
+                previous: head.previous,
+                input: Bytes::new(),
+                output: Bytes::new(),
+                retention_ms: head.retention_ms,
+            }),
+            LogEntry::Granted {
+                at_ms,
+                customer,
+                count,
+            } => LedgerRecord::Granted {
+                at_ms,
+                customer,
+                count,
+            },
+            LogEntry::Complete { group_version } => {
+                LedgerRecord::Complete { group_version }
+            }
+        };
+        let is_new = self.merge(now_ms, &record);
+        // A reservation in the log after the settlement of the turn is a copy from another
+        // member, and does not replace it.
+        if is_new || !matches!(record, LedgerRecord::Reserved(_)) {
+            self.locate(&record, location);
+        }
+    }
+
     /// The grants that this instance made: time, customer and number of requests, oldest
     /// first. After [`LedgerState::restart`] the times refer to the clock of the new start.
     pub fn grants(&self) -> impl Iterator<Item = (u64, &str, u32)> {
         let grants = self.grants.iter();
-        grants.map(|(at_ms, customer, count)| (*at_ms, customer.as_str(), *count))
+        grants.map(|grant| (grant.at_ms, grant.customer.as_str(), grant.count))
     }
 
     fn remove_old_grants(&mut self, now_ms: u64) {
         let is_old = |at_ms: u64| at_ms + GRANT_RETENTION_MS < now_ms;
-        while self
-            .grants
-            .front()
-            .is_some_and(|(at_ms, ..)| is_old(*at_ms))
-        {
+        while self.grants.front().is_some_and(|grant| is_old(grant.at_ms)) {
             self.grants.pop_front();
         }
     }
@@ -114,12 +268,12 @@
     /// counts as made at the start. How long the instance was down is unknown, and its clock
     /// may have been reset.
     pub fn restart(&mut self, started_ms: u64) {
-        let Some(last_ms) = self.grants.back().map(|(at_ms, ..)| *at_ms) else {
+        let Some(last_ms) = self.grants.back().map(|grant| grant.at_ms) else {
             return;
         };
-        for (at_ms, ..) in &mut self.grants {
-            let age_ms = last_ms.saturating_sub(*at_ms);
-            *at_ms = started_ms.saturating_sub(age_ms);
+        for grant in &mut self.grants {
+            let age_ms = last_ms.saturating_sub(grant.at_ms);
+            grant.at_ms = started_ms.saturating_sub(age_ms);
         }
     }
 
@@ -129,6 +283,11 @@
         self.complete_version
     }
 
+    /// Forgets that the records were ever complete, because some were found to be damaged.
+    pub fn mark_incomplete(&mut self) {
+        self.complete_version = None;
+    }
+
     fn program_charges(
         &mut self,
         now_ms: u64,
@@ -147,6 +306,7 @@
             tokens: reservation.max_turn_tokens,
             is_settled: false,
             turn: reservation.turn.clone(),
+            location: FrameLocation::default(),
         });
         is_new
     }
@@ -160,6 +320,7 @@
             tokens: 0,
             is_settled: false,
             turn: settlement.turn.clone(),
+            location: FrameLocation::default(),
         });
         let is_new = !charge.is_settled || charge.tokens < settlement.used_tokens;
         charge.tokens = match charge.is_settled {
@@ -171,34 +332,38 @@
     }
 
     fn add_turn(&mut self, now_ms: u64, record: &TurnRecord) -> bool {
+        let digest = TurnDigest::of(&record.turn);
         let expires_ms = now_ms.saturating_add(record.retention_ms);
-        if let Some(stored) = self.turns.get_mut(&record.turn) {
+        if let Some(stored) = self.turns.get_mut(&digest) {
             stored.expires_ms = stored.expires_ms.max(expires_ms);
             return false;
         }
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        self.turns_by_sequence.insert(sequence, record.turn.clone());
+        self.turns_by_sequence.insert(sequence, digest);
+        let previous = record.previous.as_deref().map(TurnDigest::of);
         self.turns.insert(
-            record.turn.clone(),
+            digest,
             StoredTurn {
-                record: record.clone(),
+                previous,
+                location: FrameLocation::default(),
+                retention_ms: record.retention_ms,
                 sequence,
                 expires_ms,
             },
         );
-        self.extend_retention(now_ms, record.previous.clone());
+        self.extend_retention(now_ms, previous);
         true
     }
 
     /// Restarts the retention time of a turn and of the turns that it continues, so that they
     /// are kept together.
-    fn extend_retention(&mut self, now_ms: u64, turn: Option<String>) {
+    fn extend_retention(&mut self, now_ms: u64, turn: Option<TurnDigest>) {
         let mut next = turn;
         while let Some(stored) = next.and_then(|turn| self.turns.get_mut(&turn)) {
-            let expires_ms = now_ms.saturating_add(stored.record.retention_ms);
+            let expires_ms = now_ms.saturating_add(stored.retention_ms);
             stored.expires_ms = stored.expires_ms.max(expires_ms);
-            next = stored.record.previous.clone();
+            next = stored.previous;
         }
     }
 
@@ -218,90 +383,140 @@
             .collect()
     }
 
-    /// Returns a turn and up to `max_chain_turns` - 1 of those that it continues, ending at the
-    /// first one that this instance does not hold. Extends the retention of the whole chain.
-    pub fn chain(&mut self, now_ms: u64, turn: &str, max_chain_turns: u32) -> Chain {
-        self.extend_retention(now_ms, Some(turn.to_string()));
-        let mut chain = Chain::default();
-        let mut next = Some(turn.to_string());
-        for _ in 0..max_chain_turns {
-            let Some(stored) = next.and_then(|turn| self.turns.get(&turn)) else {
+    /// Returns the positions of a turn and of up to `max_turns` - 1 of those that it continues,
+    /// newest first, ending at the first one that this instance does not hold, or once their
+    /// frames reach `max_bytes`. Extends the retention of the whole chain.
+    pub fn chain(
+        &mut self,
+        now_ms: u64,
+        turn: &str,
+        max_turns: u32,
+        max_bytes: u64,
+    ) -> Vec<(TurnDigest, FrameLocation)> {
+        let digest = TurnDigest::of(turn);
+        self.extend_retention(now_ms, Some(digest));
+        let mut chain = Vec::new();
+        let mut size_bytes = 0;
+        let mut next = Some(digest);
+        for _ in 0..max_turns {
+            let found = next.and_then(|turn| Some((turn, self.turns.get(&turn)?)));
+            let Some((turn, stored)) = found.filter(|_| size_bytes < max_bytes) else {
                 break;
             };
-            chain.turns.push(stored.record.clone());
-            next = stored.record.previous.clone();
+            chain.push((turn, stored.location));
+            size_bytes += u64::from(stored.location.frame_bytes);
+            next = stored.previous;
         }
         chain
     }
 
-    /// Returns one part of the shared records and the cursor of the next part, or `None` after
-    /// the last one. Cursor 0 gives all charges; the following parts give the turns in the
-    /// order in which they were added. A part of turns ends once their inputs and outputs
-    /// reach `part_bytes`, so it exceeds that size by less than one turn.
-    pub fn copy_part(
-        &self,
-        cursor: u64,
-        part_bytes: usize,
-    ) -> (Vec<LedgerRecord>, Option<u64>) {
-        if cursor == 0 {
-            return (self.charge_records(), Some(1));
+    /// Position of a turn's frame. `None` if this instance does not hold the turn.
+    pub fn location(&self, turn: TurnDigest) -> Option<FrameLocation> {
+        self.turns.get(&turn).map(|stored| stored.location)
+    }
+
+    /// Removes a turn whose frame is damaged.
+    pub fn remove_turn(&mut self, turn: TurnDigest) {
+        if let Some(stored) = self.turns.remove(&turn) {
+            self.turns_by_sequence.remove(&stored.sequence);
+            self.remove_live_bytes(stored.location);
         }
-        let mut records = Vec::new();
-        let mut size_bytes = 0;
-        for (sequence, turn) in self.turns_by_sequence.range(cursor - 1..) {
-            if size_bytes >= part_bytes {
-                return (records, Some(sequence + 1));
+    }
+
+    /// Returns one part of a copy of all shared records. Its size is bounded, but for the
+    /// charges of a single program.
+    pub fn copy_part(&self, cursor: &CopyCursor) -> CopyPart {
+        match cursor {
+            CopyCursor::Charges { after } => self.charges_part(after.as_ref()),
+            CopyCursor::Turns { from_sequence } => self.turns_part(*from_sequence),
+        }
+    }
+
+    fn charges_part(&self, after: Option<&ProgramKey>) -> CopyPart {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut charges = Vec::new();
+        let mut next = CopyCursor::Turns { from_sequence: 0 };
+        for (program, of_program) in self.programs.range((from, Bound::Unbounded)) {
+            let records = of_program.by_turn.values();
+            charges.extend(records.map(|charge| charge_record(program, charge)));
+            if charges.len() >= CHARGES_PER_PART {
+                next = CopyCursor::Charges {
+                    after: Some(program.clone()),
+                };
+                break;
             }
-            let record = &self.turns[turn].record;
-            size_bytes += record.input.len() + record.output.len();
-            records.push(LedgerRecord::Turn(record.clone()));
         }
-        (records, None)
+        CopyPart {
+            charges,
+            turns: Vec::new(),
+            next: Some(next),
+        }
     }
 
-    fn charge_records(&self) -> Vec<LedgerRecord> {
-        let programs = self.programs.iter();
-        programs
-            .flat_map(|(program, charges)| {
-                let charges = charges.by_turn.values();
-                charges.map(|charge| charge_record(program, charge))
-            })
-            .collect()
+    fn turns_part(&self, from_sequence: u64) -> CopyPart {
+        let mut turns = self.turns_by_sequence.range(from_sequence..);
+        let part: Vec<TurnDigest> = turns
+            .by_ref()
+            .take(TURNS_PER_PART)
+            .map(|(_, turn)| *turn)
+            .collect();
+        let next = turns.next().map(|(sequence, _)| CopyCursor::Turns {
+            from_sequence: *sequence,
+        });
+        CopyPart {
+            charges: Vec::new(),
+            turns: part,
+            next,
+        }
     }
 
-    /// All records, including those that are not shared, for a compacted copy of the log.
-    pub fn records(&self) -> Vec<LedgerRecord> {
+    /// Up to `max_turns` turns whose frames are in a segment.
+    pub fn turns_in(
+        &self,
+        segment: u32,
+        max_turns: usize,
+    ) -> Vec<(TurnDigest, FrameLocation)> {
         let turns = self.turns_by_sequence.values();
-        let turns = turns.map(|turn| LedgerRecord::Turn(self.turns[turn].record.clone()));
+        turns
+            .filter_map(|turn| Some((*turn, self.location(*turn)?)))
+            .filter(|(_, location)| location.segment == segment)
+            .take(max_turns)
+            .collect()
+    }
+
+    /// The records other than turns whose newest frames are in a segment. Includes the newest
+    /// complete version of the group, wherever its record is.
+    pub fn small_records_in(&self, segment: u32) -> Vec<LedgerRecord> {
+        let is_here = |charge: &&Charge| charge.location.segment == segment;
+        let charges = self.programs.iter().flat_map(|(program, charges)| {
+            let here = charges.by_turn.values().filter(is_here);
+            here.map(|charge| charge_record(program, charge))
+        });
+        let grants = self.grants.iter().filter(|grant| grant.segment == segment);
+        let grants = grants.map(|grant| LedgerRecord::Granted {
+            at_ms: grant.at_ms,
+            customer: grant.customer.clone(),
+            count: grant.count,
+        });
         let complete = self.complete_version.into_iter();
         let complete =
             complete.map(|group_version| LedgerRecord::Complete { group_version });
-        let mut records = self.charge_records();
-        let grants =
-            self.grants()
-                .map(|(at_ms, customer, count)| LedgerRecord::Granted {
-                    at_ms,
-                    customer: customer.to_string(),
-                    count,
-                });
-        records.extend(turns);
-        records.extend(grants);
-        records.extend(complete);
-        records
+        charges.chain(grants).chain(complete).collect()
     }
 
     /// Removes turns and charges whose retention time has passed.
     pub fn expire(&mut self, now_ms: u64) {
-        let turns_by_sequence = &mut self.turns_by_sequence;
-        self.turns.retain(|_, stored| {
-            let is_kept = stored.expires_ms > now_ms;
-            if !is_kept {
-                turns_by_sequence.remove(&stored.sequence);
-            }
-            is_kept
-        });
-        self.programs
-            .retain(|_, charges| charges.updated_ms + CHARGE_RETENTION_MS > now_ms);
+        let expired = self.turns.iter();
+        let expired = expired.filter(|(_, stored)| stored.expires_ms <= now_ms);
+        let expired: Vec<TurnDigest> = expired.map(|(turn, _)| *turn).collect();
+        expired.into_iter().for_each(|turn| self.remove_turn(turn));
+        let is_old =
+            |charges: &ProgramCharges| charges.updated_ms + CHARGE_RETENTION_MS <= now_ms;
+        let old = self.programs.extract_if(.., |_, charges| is_old(charges));
+        let old: Vec<ProgramCharges> = old.map(|(_, charges)| charges).collect();
+        for charge in old.iter().flat_map(|charges| charges.by_turn.values()) {
+            self.remove_live_bytes(charge.location);
+        }
     }
 
     /// Tokens that the ended turns of a program used, as far as this instance knows. Never
