gateway: an endpoint that says it is leaving gets no new requests

The balancer leaves such a run of an endpoint out at once; a restart under the same identifier is used again. A load report beyond the range of a sum no longer overflows (a debug build ended, a release build took the endpoint for idle).

Before: no handling; largest_load_is_accepted panics.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -80,6 +80,8 @@
     paused_until_ms: u64,
     /// No connection could be made, and none has been made since.
     is_suspended: bool,
+    /// A response said that this run of the endpoint is about to stop.
+    is_leaving: bool,
     /// Average time to first byte, divided by the service's average. Valid at `slowness_ms`.
     slowness: f64,
     slowness_ms: u64,
@@ -150,6 +152,7 @@
             consecutive_failures: 0,
             paused_until_ms: 0,
             is_suspended: false,
+            is_leaving: false,
             slowness: 1.0,
             slowness_ms: 0,
             error_rate: 0.0,
@@ -170,10 +173,10 @@
         self.endpoints.contains_key(key)
     }
 
-    /// Whether any endpoint of a service accepts new requests, that is, is not draining.
+    /// Whether any endpoint of a service accepts new requests.
     pub fn serves(&self, service: &str) -> bool {
         let mut endpoints = self.endpoints.values();
-        endpoints.any(|e| e.entry.service == service && !e.entry.is_draining)
+        endpoints.any(|endpoint| endpoint.accepts(service))
     }
 
     /// Chooses the endpoint of a service with the lowest score. `affinity` is the identifier of
@@ -188,8 +191,7 @@
         tried: &[String],
     ) -> Option<Pick> {
         let usable = self.endpoints.iter().filter(|(_, endpoint)| {
-            let entry = &endpoint.entry;
-            entry.service == service && !entry.is_draining && !tried.contains(&entry.id)
+            endpoint.accepts(service) && !tried.contains(&endpoint.entry.id)
         });
         let best = usable.min_by(|(_, a), (_, b)| {
             let a = self.score(now_ms, a, affinity);
@@ -228,9 +230,10 @@
     /// Whether every endpoint of a service has more work than it can queue, judged by its
     /// estimated load.
     pub fn is_overloaded(&self, now_ms: u64, service: &str) -> bool {
-        let mut usable = self.endpoints.values().filter(|endpoint| {
-            endpoint.entry.service == service && !endpoint.entry.is_draining
-        });
+        let mut usable = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.accepts(service));
         usable.all(|endpoint| endpoint.load(now_ms) > OVERLOAD_LOAD_PER_SLOT)
     }
 
@@ -248,11 +251,19 @@
         }
     }
 
+    /// Records that a response of the endpoint said that it is about to stop. Its entry in the
+    /// registry may say so later or not at all. Returns whether that is news.
+    pub fn mark_leaving(&mut self, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint
+            .is_some_and(|endpoint| !std::mem::replace(&mut endpoint.is_leaving, true))
+    }
+
     /// Takes the load that an endpoint reports in the head of a response. It includes the
     /// request to which the response belongs.
     pub fn report(&mut self, now_ms: u64, key: EndpointKey, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            let total = f64::from(load.running + load.waiting);
+            let total = f64::from(load.running) + f64::from(load.waiting);
             endpoint.other_requests = (total - f64::from(endpoint.own_requests)).max(0.0);
             endpoint.reported_ms = now_ms;
         }
@@ -323,6 +334,12 @@
 }
 
 impl Endpoint {
+    /// Whether it accepts new requests for a service.
+    fn accepts(&self, service: &str) -> bool {
+        let is_ending = self.entry.is_draining || self.is_leaving;
+        self.entry.service == service && !is_ending
+    }
+
     /// Estimated number of requests, running and waiting, per slot.
     fn load(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.reported_ms) as f64;
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -259,6 +259,12 @@
         let mut balancer = edge.balancer.borrow_mut();
         balancer.report(now_ms(), pick.key, load);
     }
+    if head.is_leaving && edge.balancer.borrow_mut().mark_leaving(pick.key) {
+        log::info!(
+            "event=endpoint_leaving endpoint={} source=response",
+            pick.id
+        );
+    }
     connection.idle_ms = idle_ms(&parts.headers);
     let outcome = match classify_response(&head, parts.status, &outgoing.request_id) {
         Some(outcome) => outcome,
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -99,6 +99,8 @@
     pub is_encoded: bool,
     /// Load of the endpoint, including this request.
     pub load: Option<Load>,
+    /// The endpoint is about to stop and must get no new requests.
+    pub is_leaving: bool,
 }
 
 /// Decodes and builds the headers of callers and endpoints on one platform.
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -224,3 +224,44 @@
     balancer.begin(two);
     assert_eq!(picked(&balancer, 60_000), "one");
 }
+
+// Guards against requests to an endpoint that says in its responses that it is about to stop,
+// while its entry in the registry still says that it is ready. It may say so there seconds later
+// or never.
+#[test]
+fn leaving_endpoint_gets_no_requests_until_it_has_restarted() {
+    let mut balancer = balancer(&[("leaving", "a"), ("far", "b")]);
+    let leaving = balancer.pick(0, "engines", None, &[]).expect("an endpoint");
+    assert_eq!(leaving.id, "leaving");
+    assert!(balancer.mark_leaving(leaving.key));
+    assert!(!balancer.mark_leaving(leaving.key), "it is known");
+    balancer.upsert(entry("leaving", "a"));
+    let affinity = Some("leaving");
+    let pick = balancer.pick(0, "engines", affinity, &[]);
+    assert_eq!(pick.expect("an endpoint").id, "far");
+    balancer.remove("far");
+    assert!(!balancer.serves("engines"));
+    assert_eq!(balancer.pick(0, "engines", affinity, &[]), None);
+    balancer.upsert(EndpointEntry {
+        started_unix_ms: Some(2),
+        ..entry("leaving", "a")
+    });
+    assert_eq!(picked(&balancer, 0), "leaving");
+}
+
+// Guards against a process that ends because an endpoint reports a load beyond the range of the
+// sum.
+#[test]
+fn largest_load_is_accepted() {
+    let mut balancer = balancer(&[("one", "a"), ("two", "a")]);
+    let one = balancer
+        .pick(0, "engines", None, &["two".to_string()])
+        .expect("one");
+    let largest = Load {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: u32::MAX,
+    };
+    balancer.report(0, one.key, largest);
+    assert_eq!(picked(&balancer, 0), "two");
+}
