gateway: responses without end, copies of responses, and unsent events

Bodies are now limited to 4 MiB each and an eighth of the memory limit together; the rest of a rejection to 64 KiB and 500 ms; a stream to the tokens of its request and 4 MiB of output; an event to 256 KiB, no longer searched from its start with each piece; a head to 64 KiB. Such an endpoint is set aside for 3 s. - Events that arrived together with the end of a broken stream were lost: hyper discards what it has buffered when a body fails. The body is pending once first, so that they are sent.

Ruled out: slow but sound streams being cut, and streams that drip bytes going on for ever, on entry instances: both end with the time limit of the route (slow_stream passes before and after). Known: endless informational responses and an endless chunk length are read until the deadline.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -39,6 +39,9 @@
 /// time in which the registry would announce a new one.
 const MAX_PAUSE_MS: u64 = 2_000;
 
+/// Pause of an endpoint that sent something else than responses, in milliseconds.
+const MISBEHAVIOUR_PAUSE_MS: u64 = 3_000;
+
 /// Weight of the newest time to first byte in an endpoint's moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -275,7 +278,16 @@
             let pause_ms = INITIAL_PAUSE_MS << endpoint.consecutive_failures.min(8);
             endpoint.consecutive_failures += 1;
             endpoint.update_error_rate(now_ms, true);
-            endpoint.paused_until_ms = now_ms + pause_ms.min(MAX_PAUSE_MS);
+            let until_ms = now_ms + pause_ms.min(MAX_PAUSE_MS);
+            endpoint.paused_until_ms = endpoint.paused_until_ms.max(until_ms);
+        }
+    }
+
+    /// Pauses an endpoint that sent something else than a response, or a response without end.
+    pub fn set_aside(&mut self, now_ms: u64, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            let until_ms = now_ms + MISBEHAVIOUR_PAUSE_MS;
+            endpoint.paused_until_ms = endpoint.paused_until_ms.max(until_ms);
         }
     }
 
--- a/crates/gateway/src/edge/body.rs
+++ b/crates/gateway/src/edge/body.rs
@@ -36,7 +36,21 @@
     Buffered(Option<Bytes>),
     /// Bytes are forwarded as the endpoint sends them. If the channel closes before
     /// `BodyChunk::End`, the body ends with an error.
-    Streamed(mpsc::Receiver<BodyChunk>),
+    Streamed {
+        chunks: mpsc::Receiver<BodyChunk>,
+        /// The connection was given an occasion to send what it has been given before the error.
+        is_flushed: bool,
+    },
+}
+
+impl CallBody {
+    /// A body whose bytes are forwarded from a channel.
+    pub(crate) fn streamed(chunks: mpsc::Receiver<BodyChunk>) -> CallBody {
+        CallBody::Streamed {
+            chunks,
+            is_flushed: false,
+        }
+    }
 }
 
 impl Body for CallBody {
@@ -51,11 +65,19 @@
             CallBody::Buffered(content) => {
                 content.take().map(|content| Ok(Frame::data(content)))
             }
-            CallBody::Streamed(chunks) => match ready!(chunks.poll_recv(context)) {
-                Some(BodyChunk::Data(content)) => Some(Ok(Frame::data(content))),
-                Some(BodyChunk::End) => None,
-                None => Some(Err(BodyInterrupted)),
-            },
+            CallBody::Streamed { chunks, is_flushed } => {
+                match ready!(chunks.poll_recv(context)) {
+                    Some(BodyChunk::Data(content)) => Some(Ok(Frame::data(content))),
+                    Some(BodyChunk::End) => None,
+                    // hyper discards what it has buffered when a body fails, and sends it when a
+                    // body is pending.
+                    None if !std::mem::replace(is_flushed, true) => {
+                        context.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
+                    None => Some(Err(BodyInterrupted)),
+                }
+            }
         };
         Poll::Ready(next)
     }
@@ -70,7 +92,7 @@
                 let length = content.as_ref().map_or(0, Bytes::len);
                 SizeHint::with_exact(u64::try_from(length).unwrap_or(u64::MAX))
             }
-            CallBody::Streamed(_) => SizeHint::default(),
+            CallBody::Streamed { .. } => SizeHint::default(),
         }
     }
 }
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -20,7 +19,10 @@
     quota_request, read_body,
 };
 use crate::edge::body::CallBody;
-use crate::edge::exchange::{EndpointResponse, OutgoingRequest, SendTimeouts, send};
+use crate::edge::collect::{CollectError, collect};
+use crate::edge::exchange::{
+    EndpointResponse, OutgoingRequest, SendTimeouts, send, set_aside,
+};
 use crate::edge::members::{ChainLookup, STORAGE_FULL_PAUSE_MS};
 use crate::edge::refusal::Refusal;
 use crate::edge::stream::{self, BudgetReservation, StreamCall};
@@ -59,10 +61,6 @@
 /// Number of turns in each further request: more than most conversations have.
 const MAX_FETCH_TURNS: u32 = 256;
 
-/// Largest response of a service without streaming, in bytes. It is buffered completely before
-/// it is sent to the caller.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-
 /// An instance keeps up to 1/32 of the connections that an endpoint accepts as idle
 /// connections. The fraction is fixed since instances do not know how many of them share the
 /// endpoint.
@@ -252,7 +250,7 @@
         let upstream = send(edge, &pick, &admitted.outgoing, None, timeouts).await;
         let outcome = match upstream {
             Ok(upstream) => match collect_response(edge, admitted, upstream).await {
-                Some(complete) => {
+                Ok(complete) => {
                     let is_failure = complete.status().is_server_error();
                     edge.record_endpoint_response(
                         &pick,
@@ -265,13 +263,16 @@
                     }
                     Outcome::Failed
                 }
-                None => {
+                Err(error) => {
+                    if error == CollectError::TooLong {
+                        set_aside(edge, &pick, "body");
+                    }
                     let outgoing = &admitted.outgoing;
                     edge.record_endpoint_failure(
                         &pick,
                         outgoing,
                         Outcome::Unknown,
-                        "response body broke off",
+                        error.reason(),
                     )
                 }
             },
@@ -290,22 +291,22 @@
         && admitted.time_left_ms() > 2 * MIN_SEND_TIME_MS
 }
 
-/// Reads the whole response. `None` if it breaks off, is too large or takes too long.
+/// Reads the whole response, until the caller's deadline.
 async fn collect_response(
     edge: &Edge,
     admitted: &AdmittedCall,
     upstream: EndpointResponse,
-) -> Option<Response<CallBody>> {
+) -> Result<Response<CallBody>, CollectError> {
     let time_left = Duration::from_millis(admitted.time_left_ms());
-    let limited = Limited::new(upstream.body, MAX_RESPONSE_BYTES);
-    let collected = tokio::time::timeout(time_left, limited.collect()).await;
-    let content = collected.ok()?.ok()?.to_bytes();
+    let collected = collect(&edge.body_memory, upstream.body);
+    let collected = tokio::time::timeout(time_left, collected).await;
+    let content = collected.unwrap_or(Err(CollectError::BrokenOff))?;
     let headers = edge.protocol.caller_headers(&upstream.headers);
     upstream.connection.release();
     let mut response = Response::new(CallBody::Buffered(Some(content)));
     *response.status_mut() = upstream.status;
     *response.headers_mut() = headers;
-    Some(response)
+    Ok(response)
 }
 
 /// Picks an endpoint that is not in `tried`, or returns the final response for the caller.
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -28,6 +28,13 @@
 /// the endpoint states its own time only in a response.
 const FRESH_IDLE_MS: u64 = 1_500;
 
+/// Largest body of a rejection that is read to its end, in bytes. A new connection costs less
+/// than to read more.
+const MAX_REJECTION_BYTES: usize = 64 << 10;
+
+/// Time to read the body of a rejection, in milliseconds.
+const REJECTION_TIMEOUT_MS: u64 = 500;
+
 /// The parts of a request that are the same for each endpoint to which it is sent.
 #[derive(Clone, Debug)]
 pub(crate) struct OutgoingRequest {
@@ -142,6 +149,15 @@
                 &reason,
             ));
         }
+        Ok(Err(SendError::Malformed(reason))) => {
+            set_aside(edge, pick, "head");
+            return Err(edge.record_endpoint_failure(
+                pick,
+                outgoing,
+                Outcome::Unknown,
+                &reason,
+            ));
+        }
         Ok(Err(SendError::Lost(reason))) => {
             return Err(edge.record_endpoint_failure(
                 pick,
@@ -290,21 +306,32 @@
     Err(outcome)
 }
 
-/// Reads the rest of a rejection in the background, so that its connection can be reused.
+/// Reads the rest of a rejection in the background, so that its connection can be reused. Closes
+/// the connection if the rest is long or late.
 fn drain_rejection(body: Incoming, connection: PooledConnection) {
     tokio::task::spawn_local(async move {
-        if http_body_util::BodyExt::collect(body).await.is_ok() {
+        let rest = Limited::new(body, MAX_REJECTION_BYTES).collect();
+        let timeout = Duration::from_millis(REJECTION_TIMEOUT_MS);
+        if let Ok(Ok(_)) = tokio::time::timeout(timeout, rest).await {
             connection.release();
         }
     });
 }
 
+/// Gives an endpoint no requests for some seconds, because it sent more than a response may
+/// contain, or something else than a response.
+pub(crate) fn set_aside(edge: &Edge, pick: &Pick, part: &str) {
+    log::warn!("event=endpoint_set_aside endpoint={} part={part}", pick.id);
+    edge.balancer.borrow_mut().set_aside(now_ms(), pick.key);
+}
+
 /// Returns why a response must not be passed to the caller, or `None` if it may be.
 ///
-/// The response must be for this request, and a success must carry the endpoint's signature.
-/// Statuses 408, 429 and 503 mean that the request has not run only if the response says so
-/// explicitly; otherwise the outcome is unknown. 421 always means that another endpoint received
-/// the request.
+/// Endpoints repeat the request's identifier in each response. A response with another one, or
+/// with none, may be a late copy of the response to an earlier request on the connection,
+/// whatever it says. A success must carry the endpoint's signature. Statuses 408, 429 and 503 mean
+/// that the request has not run only if the response says so explicitly; otherwise the outcome is
+/// unknown. 421 always means that another endpoint received the request.
 fn classify_response(
     head: &EndpointResponseHead,
     status: StatusCode,
@@ -313,13 +340,11 @@
     let is_for_request = head.request_id.as_deref() == Some(request_id);
     let needs_not_run_header = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     match status {
-        _ if head.request_id.is_some() && !is_for_request => Some(Outcome::Unknown),
+        _ if !is_for_request => Some(Outcome::Unknown),
         StatusCode::MISDIRECTED_REQUEST => Some(Outcome::Misdirected),
         _ if head.has_not_run => Some(Outcome::Rejected),
         _ if needs_not_run_header => Some(Outcome::Unknown),
-        status if status.is_success() && !(head.is_signed && is_for_request) => {
-            Some(Outcome::Unknown)
-        }
+        status if status.is_success() && !head.is_signed => Some(Outcome::Unknown),
         _ if head.is_encoded || status.is_informational() => Some(Outcome::Unknown),
         _ => None,
     }
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod body;
 mod call;
+mod collect;
 mod exchange;
 pub(crate) mod listen;
 mod members;
@@ -28,6 +29,7 @@
 use crate::config::Configuration;
 use crate::directory::MetadataStore;
 use crate::edge::call::AdmittedCall;
+use crate::edge::collect::BodyMemory;
 use crate::edge::exchange::OutgoingRequest;
 use crate::edge::pool::Pool;
 use crate::edge::refusal::Refusal;
@@ -77,6 +79,8 @@
     /// all just responded that the customer has no tokens left.
     refused_until_ms: RefCell<HashMap<String, u64>>,
     pub turns: RefCell<TurnCache>,
+    /// Memory of the response bodies that are being read.
+    pub body_memory: Rc<BodyMemory>,
     /// By program: the endpoint that handled its last request. The next one prefers it.
     pub affinity: RefCell<HashMap<String, String>>,
     /// Set once a list of endpoints has been received, even an empty one.
@@ -106,8 +110,10 @@
         protocol: Box<dyn CallProtocol>,
     ) -> Edge {
         let zone = settings.availability_zone.clone();
+        let body_memory = Rc::new(BodyMemory::new(settings.limits.memory_mb));
         Edge {
             settings,
+            body_memory,
             protocol,
             store,
             configuration: RefCell::default(),
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -15,6 +15,7 @@
 use crate::clock::now_ms;
 use crate::edge::body::{BodyChunk, CallBody};
 use crate::edge::call::{AdmittedCall, final_refusal, pick_endpoint};
+use crate::edge::collect::collect;
 use crate::edge::exchange::{EndpointResponse, PooledConnection, send};
 use crate::edge::refusal::Refusal;
 use crate::edge::{Edge, OrNone};
@@ -25,6 +26,13 @@
 /// buffer is full.
 const MAX_QUEUED_EVENTS: usize = 16;
 
+/// Reason of an interruption by an event without end.
+const EVENT_TOO_LARGE: &str = "event too large";
+
+/// Largest output of a turn that is stored, in bytes. With the largest input it fits into one
+/// message to a member.
+const MAX_OUTPUT_BYTES: usize = 4 << 20;
+
 /// Tokens reserved for a turn in its program's budget. Dropping it reports the tokens that were
 /// used to the members, which release the rest.
 pub(crate) struct BudgetReservation {
@@ -149,7 +157,12 @@
     /// allows another endpoint to continue.
     fn may_resume_after(&mut self, stream: &EndpointStream, reason: &str) -> bool {
         let key = stream.connection.key();
-        self.edge.balancer.borrow_mut().fail(now_ms(), key);
+        let mut balancer = self.edge.balancer.borrow_mut();
+        balancer.fail(now_ms(), key);
+        if reason == EVENT_TOO_LARGE {
+            balancer.set_aside(now_ms(), key);
+        }
+        drop(balancer);
         let step = self.attempt.next(self.admitted.policy(), Outcome::Unknown);
         log::info!(
             "event=stream_broken request={} program={} endpoint={} reason={reason:?} \
@@ -162,6 +175,22 @@
         step == Step::SendAgain
     }
 
+    /// Why an event must not be passed on: the endpoint has sent more than the request allows.
+    fn excess(&self, event: &StreamEvent) -> Option<&'static str> {
+        let max_tokens = self.admitted.call.reserved_tokens();
+        let reservation = self.reservation.as_ref();
+        let used_tokens = reservation.map(|kept| kept.settlement.used_tokens);
+        let data_bytes = event.data.as_ref().map_or(0, Vec::len);
+        match used_tokens {
+            Some(used_tokens) if used_tokens >= max_tokens => Some("too many tokens"),
+            _ if self.unfinished_turn.is_none() => None,
+            _ if self.output.len() + data_bytes > MAX_OUTPUT_BYTES => {
+                Some("output too long")
+            }
+            _ => None,
+        }
+    }
+
     /// Charges the budget for an event that is about to be queued for the caller, and adds its data
     /// to the turn's output.
     fn record(&mut self, event: &StreamEvent) {
@@ -192,7 +221,7 @@
                 continue;
             };
             match stream.reader.push(&bytes) {
-                None => return StreamProgress::Interrupted("event too large"),
+                None => return StreamProgress::Interrupted(EVENT_TOO_LARGE),
                 Some(events) if events.is_empty() => {}
                 Some(events) => return StreamProgress::Events(events),
             }
@@ -246,7 +275,7 @@
                 headers.remove(CONTENT_LENGTH);
                 let (sender, receiver) = mpsc::channel(MAX_QUEUED_EVENTS);
                 tokio::task::spawn_local(forward_events(call, stream, first, sender));
-                let mut response = Response::new(CallBody::Streamed(receiver));
+                let mut response = Response::new(CallBody::streamed(receiver));
                 *response.status_mut() = upstream.status;
                 *response.headers_mut() = headers;
                 return Ok(response);
@@ -263,12 +292,13 @@
     stream: EndpointStream,
 ) -> Result<Response<CallBody>, Refusal> {
     let time_left = Duration::from_millis(call.admitted.time_left_ms());
-    let collected = tokio::time::timeout(time_left, stream.body.collect()).await;
-    let Ok(Ok(collected)) = collected else {
+    let collected = collect(&call.edge.body_memory, stream.body);
+    let collected = tokio::time::timeout(time_left, collected).await;
+    let Ok(Ok(content)) = collected else {
         return Err(final_refusal(&call.admitted, Step::FailUnknown));
     };
     stream.connection.release();
-    let mut response = Response::new(CallBody::Buffered(Some(collected.to_bytes())));
+    let mut response = Response::new(CallBody::Buffered(Some(content)));
     *response.status_mut() = status;
     *response.headers_mut() = call.edge.protocol.caller_headers(&headers);
     Ok(response)
@@ -287,10 +317,11 @@
         let interruption = match next {
             StreamProgress::Events(events) => {
                 let (events, are_all_valid) = call.events_in_order(events);
-                if !queue_events(&mut call, events, &sender).await {
-                    return log_caller_disconnected(&call);
+                match queue_events(&mut call, events, &sender).await {
+                    Queued::All => (!are_all_valid).then_some("events out of order"),
+                    Queued::CallerGone => return log_caller_disconnected(&call),
+                    Queued::Excess(reason) => return end_excess(&call, &stream, reason),
                 }
-                (!are_all_valid).then_some("events out of order")
             }
             StreamProgress::End => {
                 stream.connection.release();
@@ -322,22 +353,48 @@
     );
 }
 
-/// Queues events for the caller. Returns false if the caller has disconnected, or has not read
-/// until its deadline.
+/// Interrupts a stream that is longer than its request allows. Another endpoint must not continue
+/// it.
+fn end_excess(call: &StreamCall, stream: &EndpointStream, reason: &str) {
+    log::warn!(
+        "event=stream_cut request={} endpoint={} reason={reason:?} last_event={}",
+        call.admitted.call.request_id,
+        call.tried.last().map_or("none", String::as_str),
+        OrNone(call.last_event_id),
+    );
+    let key = stream.connection.key();
+    call.edge.balancer.borrow_mut().set_aside(now_ms(), key);
+    call.edge.metrics.stream_interrupted();
+}
+
+/// Result of queueing events for the caller.
+enum Queued {
+    /// All events are queued.
+    All,
+    /// The caller has disconnected, or has not read until its deadline.
+    CallerGone,
+    /// The next event exceeds what the request allows, for this reason.
+    Excess(&'static str),
+}
+
+/// Queues events for the caller.
 async fn queue_events(
     call: &mut StreamCall,
     events: Vec<StreamEvent>,
     sender: &mpsc::Sender<BodyChunk>,
-) -> bool {
+) -> Queued {
     for event in events {
+        if let Some(reason) = call.excess(&event) {
+            return Queued::Excess(reason);
+        }
         call.record(&event);
         let time_left = Duration::from_millis(call.admitted.time_left_ms());
         let sending = sender.send_timeout(BodyChunk::Data(event.raw), time_left);
         if sending.await.is_err() {
-            return false;
+            return Queued::CallerGone;
         }
     }
-    true
+    Queued::All
 }
 
 /// Continues at another endpoint after the last event that was queued. `None` if that is not
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -8,7 +8,7 @@
 
 /// Largest incomplete event that is buffered, in bytes. Events are a few hundred bytes long;
 /// a response that exceeds this limit is not an event stream.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,38 +25,51 @@
 #[derive(Debug, Default)]
 pub struct EventReader {
     buffer: BytesMut,
+    /// Position in `buffer` up to which no event ends. The search continues there, so that an
+    /// event that arrives in small pieces is not searched again for each of them.
+    searched_bytes: usize,
+    /// Start of the line that contains this position.
+    line_start: usize,
 }
 
 impl EventReader {
     /// Adds received bytes and returns the events completed by them. Returns None if the
-    /// incomplete event at the end exceeds 1 MiB.
+    /// incomplete event at the end exceeds 256 KiB.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Vec<StreamEvent>> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(length) = event_length(&self.buffer) {
+        while let Some(length) = self.event_length() {
             events.push(decode(self.buffer.split_to(length).freeze()));
         }
         (self.buffer.len() <= MAX_EVENT_BYTES).then_some(events)
     }
 
+    /// Length in bytes of the first complete event, including the blank line that ends it.
+    fn event_length(&mut self) -> Option<usize> {
+        let unsearched = &self.buffer[self.searched_bytes..];
+        let line_ends = unsearched.iter().enumerate();
+        let line_ends = line_ends.filter(|(_, byte)| **byte == b'\n');
+        for (position, _) in line_ends {
+            let index = self.searched_bytes + position;
+            match &self.buffer[self.line_start..index] {
+                b"" | b"\r" if self.line_start > 0 => {
+                    self.searched_bytes = 0;
+                    self.line_start = 0;
+                    return Some(index + 1);
+                }
+                _ => self.line_start = index + 1,
+            }
+        }
+        self.searched_bytes = self.buffer.len();
+        None
+    }
+
     /// Whether the bytes received so far end with a complete event.
     pub fn is_at_boundary(&self) -> bool {
         self.buffer.is_empty()
     }
 }
 
-/// Length in bytes of the first complete event, including the blank line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, _) in bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
-        match &bytes[line_start..index] {
-            b"" | b"\r" if line_start > 0 => return Some(index + 1),
-            _ => line_start = index + 1,
-        }
-    }
-    None
-}
-
 fn decode(raw: Bytes) -> StreamEvent {
     let mut id = None;
     let mut data: Option<Vec<u8>> = None;
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -37,6 +37,12 @@
 /// response.
 const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Largest response head, in bytes. Heads are a few hundred bytes long.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Largest number of headers in a response.
+const MAX_HEADERS: usize = 100;
+
 /// A client connection for one request at a time. Dropping it closes the socket at once.
 ///
 /// Must be created on a `LocalSet`, on which it runs its I/O task.
@@ -53,6 +59,9 @@
     NotSent(String),
     /// The request may have arrived. Holds the reason.
     Lost(String),
+    /// The request may have arrived. The server sent bytes that are not a response head, or a
+    /// head beyond the limits. Holds the reason.
+    Malformed(String),
 }
 
 impl HttpConnection {
@@ -66,7 +75,11 @@
         timeout_ms: u64,
     ) -> io::Result<HttpConnection> {
         let stream = connect_tcp(address, timeout_ms).await?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .max_headers(MAX_HEADERS)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
@@ -96,9 +109,15 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
-            Some(_) => SendError::NotSent(error.into_error().to_string()),
-            None => SendError::Lost(error.into_error().to_string()),
+        sent.map_err(|mut error| {
+            let is_sent = error.take_message().is_none();
+            let error = error.into_error();
+            let reason = error.to_string();
+            match is_sent {
+                false => SendError::NotSent(reason),
+                true if error.is_parse() => SendError::Malformed(reason),
+                true => SendError::Lost(reason),
+            }
         })
     }
 
