--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -8,7 +8,7 @@
 
 /// Largest incomplete event that is buffered, in bytes. Events are a few hundred bytes long;
 /// a response that exceeds this limit is not an event stream.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,7 +34,7 @@
 
 impl EventReader {
     /// Adds received bytes and returns the events completed by them. Returns None if the
-    /// incomplete event at the end exceeds 256 KiB.
+    /// incomplete event at the end exceeds 1 MiB.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Vec<StreamEvent>> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
