--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -111,7 +111,7 @@
     /// Switches to a version of the group if it is newer than the known one. It is sent to its
     /// members, so that they stop responding in earlier versions.
     pub fn adopt(self: &Rc<Self>, group: Group) {
-        if group.version <= self.group().version {
+        if group.version <= self.group().version || !group.is_valid() {
             return;
         }
         log::info!(
--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -413,6 +413,9 @@
         };
     };
     let group = decode::<Group>(&record.content)?;
+    if !group.is_valid() {
+        return Err(MetadataError::Unreadable("group out of range".to_string()));
+    }
     process.apply(Event::GroupReceived(group.clone()));
     process.has_read_group.set(true);
     let retiring = process.store.retirements().await?;
@@ -456,8 +459,15 @@
         .await?;
     let candidates: Vec<Member> = records
         .iter()
-        .map(|record| decode(&record.content))
-        .collect::<Result<_, _>>()?;
+        .filter_map(|record| match decode::<Member>(&record.content) {
+            Ok(member) => Some(member),
+            Err(error) => {
+                let name = &record.name;
+                log::warn!("event=record_unreadable record={name} reason={error:?}");
+                None
+            }
+        })
+        .collect();
     let group = Group::first(&candidates, process.settings.tolerated_losses);
     let written = write_group(process, &group, 0).await;
     match written {
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -449,7 +449,7 @@
 
     /// Switches to a group if it is newer than the one known.
     pub(super) fn adopt_group(&mut self, now_ms: u64, group: Group) -> Vec<Effect> {
-        if group.version <= self.group.version {
+        if group.version <= self.group.version || !group.is_valid() {
             return Vec::new();
         }
         if group.members.len() < self.group.members.len() {
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -7,6 +7,12 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Largest version of a group, so that versions after it can be computed.
+const MAX_VERSION: u64 = u64::MAX / 2;
+
+/// Largest number of members of a group.
+const MAX_MEMBERS: usize = 1_000;
+
 /// A storage instance.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Member {
@@ -72,6 +78,18 @@
         }
     }
 
+    /// Whether the values are in the range that instances write: further versions can follow, and
+    /// there are members without duplicates.
+    pub fn is_valid(&self) -> bool {
+        let names: BTreeSet<&String> =
+            self.members.iter().map(|member| &member.name).collect();
+        (1..=MAX_VERSION).contains(&self.version)
+            && (1..=MAX_MEMBERS).contains(&self.members.len())
+            && names.len() == self.members.len()
+            && self.previous.len() <= MAX_MEMBERS
+            && self.tolerated_losses <= MAX_MEMBERS
+    }
+
     /// Whether an instance is a member of this version.
     pub fn contains(&self, name: &str) -> bool {
         self.members.iter().any(|member| member.name == name)
