planned stops finish what is established; dripping endpoints end

- gateway: on SIGTERM idle connections were closed at once, with requests that had just arrived unread, and connections in the listen queue were reset 2.5 s later.
Responses now ask callers to close for 2.5 s; only then idle connections are closed, and the listen queue is emptied first.
Found by reading; no test failed first.
- endpoint (serve): a byte within each progress timeout kept a call open for ever. 16 bytes must arrive within two timeouts; one small event in each is enough. dripping_endpoint_times_out failed first ('the call ends: Timeout' after 30 s); slow_events_are_received_to_the_end holds the other side.

--- a/crates/endpoint/src/transport.rs
+++ b/crates/endpoint/src/transport.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ureq::config::Config;
 use ureq::http::Uri;
@@ -22,6 +22,44 @@
 /// Size of the output buffer of a connection.
 const OUTPUT_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Bytes that must arrive within a window of [`PROGRESS_WINDOWS`] times the progress timeout. One
+/// small event in each timeout is enough, a byte now and then is not.
+const MIN_WINDOW_BYTES: usize = 16;
+/// Length of that window, in progress timeouts.
+const PROGRESS_WINDOWS: u32 = 2;
+
+/// Checks that a response makes progress, beyond a byte now and then.
+#[derive(Debug)]
+struct Progress {
+    window: Duration,
+    /// Start of the current window.
+    since: Instant,
+    /// Bytes that arrived in the current window.
+    bytes: usize,
+}
+
+impl Progress {
+    fn new(progress_timeout: Duration) -> Progress {
+        Progress {
+            window: progress_timeout * PROGRESS_WINDOWS,
+            since: Instant::now(),
+            bytes: 0,
+        }
+    }
+
+    /// Records received bytes. Returns false if too few arrived in a window.
+    fn record(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        if self.since.elapsed() < self.window {
+            return true;
+        }
+        let is_enough = self.bytes >= MIN_WINDOW_BYTES;
+        self.since = Instant::now();
+        self.bytes = 0;
+        is_enough
+    }
+}
+
 /// State of the connection of one call. Shared by the thread that runs the call and the
 /// threads that may cancel it.
 #[derive(Debug, Default)]
@@ -105,6 +143,7 @@
             socket: Arc::clone(&self.socket),
             state: Arc::clone(&self.state),
             buffers: LazyBuffers::new(INPUT_BUFFER_BYTES, OUTPUT_BUFFER_BYTES),
+            progress: Progress::new(self.progress_timeout),
         }))
     }
 }
@@ -115,6 +154,7 @@
     socket: Arc<TcpStream>,
     state: Arc<CallState>,
     buffers: LazyBuffers,
+    progress: Progress,
 }
 
 impl SocketTransport {
@@ -169,6 +209,9 @@
                 return Err(ureq::Error::Io(io::Error::other(message)));
             }
             match (&*self.socket).read(space) {
+                Ok(count) if count > 0 && !self.progress.record(count) => {
+                    return Err(self.io_error(io::ErrorKind::TimedOut.into()));
+                }
                 Ok(count) => {
                     self.buffers.input_appended(count);
                     return Ok(count > 0);
--- a/crates/endpoint/tests/failures.rs
+++ b/crates/endpoint/tests/failures.rs
@@ -89,6 +89,58 @@
     assert_eq!(failure.reason, RefusalReason::EndpointFailed);
 }
 
+/// Sends a response byte by byte with a pause after each, until the client closes the connection.
+fn drip(connection: &mut support::Connection, head: &str, pause: Duration) {
+    use std::io::Write;
+    connection.read_request();
+    connection.send(head);
+    for _ in 0..4_000 {
+        if connection.stream.write_all(b":").is_err() {
+            return;
+        }
+        std::thread::sleep(pause);
+    }
+}
+
+/// Guards against an endpoint that sends a byte now and then, each within the timeout, and so never
+/// ends a call.
+#[test_case("HTTP/1.1 200 OK\r\nA: ", Ran::Unknown; "in the head")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 90000\r\n\r\n", Ran::Yes; "in the body")]
+fn dripping_endpoint_times_out(head: &'static str, ran: Ran) {
+    let endpoint = endpoint(move |connection| {
+        drip(connection, head, Duration::from_millis(40));
+    });
+    let (outcome, _) = call(&CallRequest {
+        progress_timeout_ms: 200,
+        ..request(endpoint.address)
+    });
+    let failure = outcome.expect_err("the endpoint makes no progress");
+    assert_eq!(failure.ran, ran);
+    assert_eq!(failure.reason, RefusalReason::EndpointTimeout);
+    endpoint.report();
+}
+
+/// Guards against a slow but sound stream that is cut: small events, each well within the timeout,
+/// for several times as long.
+#[test]
+fn slow_events_are_received_to_the_end() {
+    let endpoint = endpoint(|connection| {
+        connection.read_request();
+        connection.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        for _ in 0..35 {
+            connection.send("9\r\ndata: x\n\n\r\n");
+            std::thread::sleep(Duration::from_millis(150));
+        }
+        connection.send("0\r\n\r\n");
+    });
+    let (outcome, record) = call(&CallRequest {
+        progress_timeout_ms: 2_000,
+        ..request(endpoint.address)
+    });
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(record.body.len(), 35 * "data: x\n\n".len());
+}
+
 /// Guards against a silent endpoint that blocks a call forever, and against silence being
 /// treated as the end of a response.
 #[test_case("", Ran::Unknown; "before the head")]
--- a/crates/gateway/src/edge/listen.rs
+++ b/crates/gateway/src/edge/listen.rs
@@ -73,9 +73,9 @@
     let metrics = listen(metrics)?;
     log::info!("event=started role=edge name={}", edge.settings.name);
     sync::start(&edge);
-    let (stopping, is_stopping) = watch::channel(false);
+    let (stopping, stage) = watch::channel(Stage::Serving);
     let accept_task =
-        tokio::task::spawn_local(accept_calls(Rc::clone(&edge), front, is_stopping));
+        tokio::task::spawn_local(accept_calls(Rc::clone(&edge), front, stage));
     tokio::task::spawn_local(serve_readiness(Rc::clone(&edge), ready));
     let for_metrics = Rc::clone(&edge);
     tokio::task::spawn_local(serve_text(metrics, move || for_metrics.metrics.text()));
@@ -84,9 +84,11 @@
     log::info!("event=stopping calls={}", edge.metrics.open_calls());
     edge.is_stopping.set(true);
     // Fails only if no connection is open.
-    let _ = stopping.send(true);
+    let _ = stopping.send(Stage::Draining);
     pause(ACCEPT_AFTER_STOP_MS).await;
-    accept_task.abort();
+    let _ = stopping.send(Stage::Closing);
+    // Fails only if the task has panicked.
+    let _ = accept_task.await;
     let drain_until_ms = began_ms + stop_ms.saturating_sub(EXIT_RESERVE_MS);
     while edge.metrics.open_connections() > 0 && now_ms() < drain_until_ms {
         pause(DRAIN_POLL_MS).await;
@@ -141,25 +143,57 @@
     }
 }
 
-/// Accepts callers' connections and serves each in its own task.
+/// Stage of a graceful shutdown. Never goes back to an earlier one.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Stage {
+    /// Normal operation.
+    Serving,
+    /// Connections are accepted, and responses ask callers to close theirs.
+    Draining,
+    /// No connections are accepted, and idle ones are closed.
+    Closing,
+}
+
+/// Accepts callers' connections and serves each in its own task. Ends at [`Stage::Closing`], once
+/// all connections that were established by then have been accepted.
 async fn accept_calls(
     edge: Rc<Edge>,
     listener: TcpListener,
-    stopping: watch::Receiver<bool>,
+    mut stage: watch::Receiver<Stage>,
 ) {
+    let for_connections = stage.clone();
+    let serve = |stream| {
+        let (edge, stage) = (Rc::clone(&edge), for_connections.clone());
+        tokio::task::spawn_local(serve_connection(edge, stream, stage));
+    };
     loop {
-        let stream = accept(&listener).await;
-        let (edge, stopping) = (Rc::clone(&edge), stopping.clone());
-        tokio::task::spawn_local(serve_connection(edge, stream, stopping));
+        tokio::select! {
+            stream = accept(&listener) => serve(stream),
+            _ = stage.wait_for(|stage| *stage == Stage::Closing) => break,
+        }
+    }
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    // Uses the socket directly, because tokio may have missed connections that were queued since.
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream))
+            .and_then(|stream| set_caller_timeouts(&stream).map(|()| stream));
+        match stream {
+            Ok(stream) => serve(stream),
+            Err(error) => log::warn!("event=accept_failed reason={error}"),
+        }
     }
 }
 
-/// Serves one caller's connection. After `stopping` turns true, the connection closes when its
-/// current request is done.
+/// Serves one caller's connection. While the instance drains, the connection closes after its next
+/// response, so that few are idle when all of those are closed.
 async fn serve_connection(
     edge: Rc<Edge>,
     stream: TcpStream,
-    mut stopping: watch::Receiver<bool>,
+    mut stage: watch::Receiver<Stage>,
 ) {
     let _open = edge.metrics.open_connection();
     let limits = edge.configuration().limits;
@@ -171,7 +205,8 @@
             let mut response = call::handle_request(Rc::clone(&edge), request).await;
             // Without contact with the group for this long, the load balancer sends new
             // connections to other instances, so the caller should open one.
-            if edge.members.contact().is_out_of_rotation(now_ms()) {
+            let is_lost = edge.members.contact().is_out_of_rotation(now_ms());
+            if is_lost || edge.is_stopping.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -187,10 +222,10 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let stop = stopping.wait_for(|stopping| *stopping);
+    let close = stage.wait_for(|stage| *stage == Stage::Closing);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = stop => {
+        _ = close => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
