--- a/crates/ledger/src/rate.rs
+++ b/crates/ledger/src/rate.rs
@@ -9,11 +9,6 @@
 //! granted as long as the window has room. Requests that start a program are granted from a
 //! token bucket that all grants drain, so that a customer above its limit starts only as many
 //! programs as it can finish.
-//!
-//! The bucket of a small customer holds few tokens at each of several members, and the requests of
-//! its running programs use them up long before its limit is reached. A program may therefore also
-//! start on a second account, while the window has room: as many programs as the rate divided by the
-//! requests that a program of this customer needs.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -77,21 +72,6 @@
 /// many programs started (`crates/gateway/tests/program_load.rs`).
 const UNCONTENDED_FRACTION: f64 = 0.3;
 
-/// Requests that a program is assumed to need before any were observed.
-const ASSUMED_PROGRAM_REQUESTS: f64 = 10.0;
-
-/// Time constant with which observed programs and requests are forgotten, in milliseconds: several
-/// times the duration of a program.
-const OBSERVATION_MS: f64 = 30_000.0;
-
-/// Fraction of the rate that the account for starts is filled with. The rest covers programs that
-/// need more requests than others.
-const START_RATE_FRACTION: f64 = 0.8;
-
-/// The account for starts is used only while less than this fraction of the window is used. The
-/// rest is left to programs that have started.
-const CREDIT_FRACTION: f64 = 0.65;
-
 /// Time after a start in which nothing is reserved for programs that have started, in
 /// milliseconds: there are none yet, or all of them start again.
 const NO_RESERVE_MS: u64 = 3_000;
@@ -106,12 +86,6 @@
     updated_ms: u64,
     /// Time in milliseconds and number of requests of each grant in the window, oldest first.
     grants: VecDeque<(u64, u32)>,
-    /// Programs that may start although the bucket is empty. Valid at `updated_ms`.
-    start_credit: f64,
-    /// Programs started, with a weight that decays with their age. Valid at `updated_ms`.
-    observed_starts: f64,
-    /// Requests granted, with the same weight.
-    observed_requests: f64,
 }
 
 impl CustomerUsage {
@@ -126,34 +100,6 @@
         }
         self.grants.iter().map(|(_, count)| count).sum()
     }
-
-    /// Number of requests that a program of this customer needs, as far as it is known.
-    fn program_requests(&self) -> f64 {
-        let requests = self.observed_requests + ASSUMED_PROGRAM_REQUESTS;
-        requests / (self.observed_starts + 1.0)
-    }
-
-    /// Fills the bucket and the account for starts up to `now_ms`. `capacity` is that of the bucket,
-    /// `window_requests` what the limit allows in a window.
-    fn refill(
-        &mut self,
-        now_ms: u64,
-        rate_per_ms: f64,
-        capacity: f64,
-        window_requests: f64,
-    ) {
-        let elapsed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.tokens = (self.tokens + elapsed_ms * rate_per_ms).min(capacity);
-        let weight = (-elapsed_ms / OBSERVATION_MS).exp();
-        self.observed_starts *= weight;
-        self.observed_requests *= weight;
-        let program_requests = self.program_requests();
-        let starts_per_ms = START_RATE_FRACTION * rate_per_ms / program_requests;
-        let max_starts = (window_requests / program_requests).max(1.0);
-        self.start_credit =
-            (self.start_credit + elapsed_ms * starts_per_ms).min(max_starts);
-        self.updated_ms = self.updated_ms.max(now_ms);
-    }
 }
 
 /// The shares of all customers' rates that one member grants.
@@ -226,9 +172,6 @@
                 tokens: MIN_BUCKET_TOKENS,
                 updated_ms: now_ms,
                 grants: VecDeque::new(),
-                start_credit: 1.0,
-                observed_starts: 0.0,
-                observed_requests: 0.0,
             })
     }
 
@@ -257,28 +200,23 @@
         let rate_per_ms = limit.rate_per_s / 1_000.0 / shares;
         let capacity = (limit.burst / shares).max(MIN_BUCKET_TOKENS);
         let rate_in_window = rate_per_ms * window_ms as f64;
-        let window_requests = rate_in_window + limit.burst / shares;
         let usage = self.usage(now_ms, customer);
-        usage.refill(now_ms, rate_per_ms, capacity, window_requests);
+        let elapsed_ms = now_ms.saturating_sub(usage.updated_ms) as f64;
+        usage.tokens = (usage.tokens + elapsed_ms * rate_per_ms).min(capacity);
+        usage.updated_ms = usage.updated_ms.max(now_ms);
         let used = f64::from(usage.granted_in_window(now_ms, window_ms));
         // Rounded up, because rounding down would take most of the share of a small customer.
         // The tolerated slack covers the difference.
-        let room = window_requests.ceil() - used;
+        let room = (rate_in_window + limit.burst / shares).ceil() - used;
         // The reserve leaves at least one token, so that a full bucket always grants one.
         let above_reserve =
             |reserve: f64| usage.tokens - (reserve * capacity).min(capacity - 1.0);
-        let uncontended = UNCONTENDED_FRACTION * window_requests;
+        let uncontended = UNCONTENDED_FRACTION * (rate_in_window + limit.burst / shares);
         let available = match quota_purpose {
             QuotaPurpose::ContinueProgram => room + slack,
             _ if !has_reserve => usage.tokens,
             QuotaPurpose::StartProgram => {
-                let by_credit = match used < CREDIT_FRACTION * window_requests {
-                    true => usage.start_credit,
-                    false => 0.0,
-                };
-                above_reserve(START_RESERVE_FRACTION)
-                    .max(uncontended - used)
-                    .max(by_credit)
+                above_reserve(START_RESERVE_FRACTION).max(uncontended - used)
             }
             QuotaPurpose::Prefetch => above_reserve(PREFETCH_RESERVE_FRACTION),
         };
@@ -288,11 +226,6 @@
             .floor()
             .min(f64::from(requests));
         usage.tokens = (usage.tokens - granted).max(-rate_in_window);
-        usage.observed_requests += granted;
-        if quota_purpose == QuotaPurpose::StartProgram {
-            usage.observed_starts += granted;
-            usage.start_credit = (usage.start_credit - granted).max(0.0);
-        }
         let granted = granted as u32;
         if granted > 0 {
             usage.grants.push_back((now_ms, granted));
