storage: cut only the connection whose receiver does not read

A connection now has a quarter of the budget for itself and is closed beyond that. While all together exceed it, requests for turns are rejected (the entry instance asks another member).

--- a/crates/gateway/src/storage/replies.rs
+++ b/crates/gateway/src/storage/replies.rs
@@ -1,4 +1,5 @@
-//! Memory of replies that wait to be sent.
+//! Memory of replies that wait to be sent. A receiver that does not read loses its connection; while
+//! all replies together take too much, requests for turns are rejected.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -9,18 +10,34 @@
 /// Approximate size of a reply without turns, in bytes.
 const SMALL_REPLY_BYTES: usize = 256;
 
-/// Memory of all replies that wait to be sent.
+/// Largest share of the memory limit for replies that one connection may take, as a divisor.
+const CONNECTION_DIVISOR: usize = 4;
+
+/// Memory of replies that wait to be sent, on one connection or on all.
 #[derive(Debug)]
 pub(super) struct ReplyBudget {
     used_bytes: Cell<usize>,
     max_bytes: usize,
+    /// The budget of all connections, if this is that of one.
+    parent: Option<Rc<ReplyBudget>>,
 }
 
 impl ReplyBudget {
+    /// The budget of all connections.
     pub(super) fn new(max_bytes: usize) -> ReplyBudget {
         ReplyBudget {
             used_bytes: Cell::new(0),
             max_bytes,
+            parent: None,
+        }
+    }
+
+    /// The budget of one connection. What it uses counts towards that of all.
+    pub(super) fn of_connection(all: &Rc<ReplyBudget>) -> ReplyBudget {
+        ReplyBudget {
+            used_bytes: Cell::new(0),
+            max_bytes: all.max_bytes / CONNECTION_DIVISOR,
+            parent: Some(Rc::clone(all)),
         }
     }
 
@@ -31,6 +48,20 @@
     pub(super) fn is_exceeded(&self) -> bool {
         self.used_bytes.get() > self.max_bytes
     }
+
+    fn claim(&self, bytes: usize) {
+        self.used_bytes.set(self.used_bytes.get() + bytes);
+        if let Some(parent) = &self.parent {
+            parent.claim(bytes);
+        }
+    }
+
+    fn release(&self, bytes: usize) {
+        self.used_bytes.set(self.used_bytes.get() - bytes);
+        if let Some(parent) = &self.parent {
+            parent.release(bytes);
+        }
+    }
 }
 
 /// A reply in the queue of a connection. Counts towards the budget until it is dropped.
@@ -51,7 +82,7 @@
 impl QueuedReply {
     pub(super) fn new(reply: Reply, budget: &Rc<ReplyBudget>) -> QueuedReply {
         let bytes = size_bytes(&reply.body);
-        budget.used_bytes.set(budget.used_bytes.get() + bytes);
+        budget.claim(bytes);
         let budget = Rc::clone(budget);
         QueuedReply {
             reply,
@@ -62,8 +93,7 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        let used_bytes = &self.budget.used_bytes;
-        used_bytes.set(used_bytes.get() - self.bytes);
+        self.budget.release(self.bytes);
     }
 }
 
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -6,7 +6,9 @@
 
 use eyre::{OptionExt, ensure};
 use futures::StreamExt;
-use jayreel_ledger::{FrameLocation, Member, Reply, TurnDigest, TurnRecord};
+use jayreel_ledger::{
+    FrameLocation, Member, MemberRequest, MemberResponse, Reply, TurnDigest, TurnRecord,
+};
 use slotmap::SlotMap;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -41,9 +43,9 @@
     /// Whether the group was read from the store since the start. Groups that other instances
     /// announced do not count.
     pub has_read_group: Cell<bool>,
-    /// Reply queues of the open connections from other instances.
-    connections: RefCell<SlotMap<ConnectionKey, mpsc::UnboundedSender<QueuedReply>>>,
-    /// Memory of the replies in these queues.
+    /// The open connections from other instances.
+    connections: RefCell<SlotMap<ConnectionKey, ReplyQueue>>,
+    /// Memory of the replies in their queues.
     reply_budget: Rc<ReplyBudget>,
     /// Records copied from other members since the start.
     pub copied_records: Cell<u64>,
@@ -51,6 +53,12 @@
     pub links: LinkPool,
 }
 
+/// Where the replies of one connection wait.
+struct ReplyQueue {
+    sender: mpsc::UnboundedSender<QueuedReply>,
+    budget: Rc<ReplyBudget>,
+}
+
 /// Runs a storage instance until it receives a shutdown signal.
 ///
 /// # Errors
@@ -139,13 +147,20 @@
 async fn serve_connection(process: Rc<StorageProcess>, stream: TcpStream) {
     let (mut frames, write) = split(stream);
     let (sender, queue) = mpsc::unbounded_channel();
-    let key = process.connections.borrow_mut().insert(sender);
+    let budget = Rc::new(ReplyBudget::of_connection(&process.reply_budget));
+    let reply_queue = ReplyQueue { sender, budget };
+    let key = process.connections.borrow_mut().insert(reply_queue);
     let writer = tokio::task::spawn_local(write_messages(write, queue));
     while let Some(Ok(frame)) = frames.next().await {
         let Some(request) = decode_request(&frame) else {
             log::warn!("event=request_unreadable");
             break;
         };
+        if process.reply_budget.is_exceeded() && asks_for_turns(&request.body) {
+            let (id, body) = (request.id, MemberResponse::Unavailable);
+            process.send(key, Reply { id, body });
+            continue;
+        }
         process.apply(Event::RequestReceived {
             connection: key,
             request,
@@ -155,6 +170,14 @@
     writer.abort();
 }
 
+/// Whether the reply to a request contains turns.
+fn asks_for_turns(request: &MemberRequest) -> bool {
+    matches!(
+        request,
+        MemberRequest::Chain { .. } | MemberRequest::CopyTurns(_)
+    )
+}
+
 impl StorageProcess {
     /// Describes this instance as a member, for the group and the metadata store.
     pub(crate) fn as_member(&self) -> Member {
@@ -184,19 +207,19 @@
     }
 
     /// Queues a reply. Drops it if the connection has closed, and closes the connection if too
-    /// many replies wait for receivers that do not read.
+    /// many replies wait for a receiver that does not read.
     fn send(&self, connection: ConnectionKey, reply: Reply) {
         let mut connections = self.connections.borrow_mut();
-        let Some(sender) = connections.get(connection) else {
+        let Some(queue) = connections.get(connection) else {
             return;
         };
-        let reply = QueuedReply::new(reply, &self.reply_budget);
-        let is_over = self.reply_budget.is_exceeded();
-        let _ = sender.send(reply);
+        let reply = QueuedReply::new(reply, &queue.budget);
+        let used_bytes = queue.budget.used_bytes();
+        let is_over = queue.budget.is_exceeded();
+        let _ = queue.sender.send(reply);
         if is_over {
             log::warn!(
-                "event=connection_cut reason=unsent_replies used_bytes={}",
-                self.reply_budget.used_bytes()
+                "event=connection_cut reason=unsent_replies used_bytes={used_bytes}"
             );
             connections.remove(connection);
         }
