gateway: a busy member's connection is not given up after one late reply

Cause: a request that timed out (120 to 250 ms) closed its connection if nothing had arrived since it was sent, and failed all others on it.

A connection is now given up after a second of silence while a request waits.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -37,6 +37,11 @@
 /// requests don't wait for an instance that is known to be unreachable.
 const RETRY_PAUSE_MS: u64 = 60;
 
+/// A connection on which nothing arrived for this long while a request waits is given up, in
+/// milliseconds. Requests time out sooner: a busy instance responds late, and a new connection would
+/// add to its work. The kernel closes one that no longer carries data.
+const GIVE_UP_SILENCE_MS: u64 = 1_000;
+
 /// Why a request to a storage instance got no response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkError {
@@ -64,8 +69,8 @@
 struct Connection {
     outgoing: mpsc::UnboundedSender<Request>,
     pending: PendingResponses,
-    /// Time of the last frame received, 0 before the first.
-    last_received_ms: Rc<Cell<u64>>,
+    /// When the first request was sent to which nothing has arrived since. `None` if there is none.
+    silent_since_ms: Rc<Cell<Option<u64>>>,
     next_id: Cell<u64>,
     /// The tasks that read and write the socket.
     tasks: [JoinHandle<()>; 2],
@@ -117,7 +122,8 @@
         let id = connection.next_id.get();
         connection.next_id.set(id + 1);
         connection.pending.borrow_mut().insert(id, sender);
-        let sent_ms = now_ms();
+        let silent_since_ms = &connection.silent_since_ms;
+        silent_since_ms.set(silent_since_ms.get().or(Some(now_ms())));
         let request = Request {
             id,
             group_version,
@@ -135,8 +141,8 @@
             }
             Err(_) => {
                 connection.pending.borrow_mut().remove(&id);
-                // A connection on which nothing arrived since the request counts as lost.
-                if connection.last_received_ms.get() < sent_ms {
+                let since_ms = connection.silent_since_ms.get();
+                if since_ms.is_some_and(|ms| ms + GIVE_UP_SILENCE_MS <= now_ms()) {
                     self.abandon(&connection).await;
                 }
                 Err(LinkError::TimedOut)
@@ -242,13 +248,13 @@
     let (read, write) = stream.into_split();
     let (outgoing, queue) = mpsc::unbounded_channel();
     let pending = PendingResponses::default();
-    let last_received_ms = Rc::new(Cell::new(0));
-    let reader = read_replies(read, Rc::clone(&pending), Rc::clone(&last_received_ms));
+    let silent_since_ms = Rc::new(Cell::new(None));
+    let reader = read_replies(read, Rc::clone(&pending), Rc::clone(&silent_since_ms));
     let writer = write_messages(write, queue);
     Connection {
         outgoing,
         pending,
-        last_received_ms,
+        silent_since_ms,
         next_id: Cell::new(1),
         tasks: [
             tokio::task::spawn_local(reader),
@@ -261,11 +267,11 @@
 async fn read_replies(
     read: OwnedReadHalf,
     pending: PendingResponses,
-    last_received_ms: Rc<Cell<u64>>,
+    silent_since_ms: Rc<Cell<Option<u64>>>,
 ) {
     let mut frames = FramedRead::new(read, codec());
     while let Some(Ok(frame)) = frames.next().await {
-        last_received_ms.set(now_ms());
+        silent_since_ms.set(None);
         match postcard::from_bytes::<Reply>(&frame) {
             Ok(reply) => {
                 let sender = pending.borrow_mut().remove(&reply.id);
