storage: a leaving instance hands turns over in messages of bounded size

Cause, by reading: sixteen turns went into one message, which large turns (up to 8 MB) made longer than a frame may be; the receiver closes the connection, and the hand-over never ends. The same piece of code now bounds hand-overs and copies by bytes.

--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -53,9 +53,6 @@
 /// Number of turns in a request for a copy. The response contains fewer if they are large.
 const MAX_COPIED_TURNS: usize = 256;
 
-/// Number of turns that a leaving instance sends at once.
-const MAX_HANDED_TURNS: usize = 16;
-
 /// Pause between two attempts to copy missing records, in milliseconds.
 const COPY_INTERVAL_MS: u64 = 100;
 
@@ -618,9 +615,11 @@
         if !send_records(process, group, part.charges).await {
             return false;
         }
-        for turns in part.turns.chunks(MAX_HANDED_TURNS) {
-            let locations = turns.iter().filter_map(|turn| process.location(*turn));
-            let Some(turns) = process.read_turns(locations.collect()).await else {
+        let mut left = part.turns.as_slice();
+        while !left.is_empty() {
+            let (locations, covered) = process.next_locations(left);
+            left = &left[covered..];
+            let Some(turns) = process.read_turns(locations).await else {
                 return false;
             };
             let records = turns.into_iter().map(LedgerRecord::Turn).collect();
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -420,16 +420,16 @@
             .collect()
     }
 
-    /// Returns one part of a copy of all shared records.
-    pub fn copy_part(&self, cursor: &jayreel_ledger::CopyCursor) -> CopyPart {
-        self.state.copy_part(cursor)
-    }
-
     /// Position of a turn in the log.
     pub fn location(&self, turn: TurnDigest) -> Option<FrameLocation> {
         self.state.location(turn)
     }
 
+    /// Returns one part of a copy of all shared records.
+    pub fn copy_part(&self, cursor: &jayreel_ledger::CopyCursor) -> CopyPart {
+        self.state.copy_part(cursor)
+    }
+
     /// Sends the replies that waited for appends up to `through`, which are on disk.
     fn release_replies(&mut self, through: u64) -> Vec<Effect> {
         self.last_synced = self.last_synced.max(through);
--- a/crates/gateway/src/storage/reads.rs
+++ b/crates/gateway/src/storage/reads.rs
@@ -79,6 +79,17 @@
         id: u64,
         requested: &[TurnDigest],
     ) -> Vec<Effect> {
+        let (turns, covered) = self.next_locations(requested);
+        let covered = u32::try_from(covered).unwrap_or(u32::MAX);
+        self.read_turns(now_ms, turns, ReadPurpose::Copy { to, id, covered })
+    }
+
+    /// Positions of the first turns that fit into a message, and how many of `requested` these
+    /// cover: at least one. Turns that this instance does not hold are covered.
+    pub fn next_locations(
+        &self,
+        requested: &[TurnDigest],
+    ) -> (Vec<(TurnDigest, FrameLocation)>, usize) {
         let mut turns = Vec::new();
         let mut covered = 0;
         let mut size_bytes = 0;
@@ -91,7 +102,7 @@
             size_bytes += location.map_or(0, |location| location.frame_bytes.into());
             turns.extend(location.map(|location| (*turn, location)));
         }
-        self.read_turns(now_ms, turns, ReadPurpose::Copy { to, id, covered })
+        (turns, covered)
     }
 
     /// Reads the turns that are not in the cache. Rejects requests while too much is being read.
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -237,9 +237,14 @@
         });
     }
 
-    /// Position of a turn in the log.
-    pub(crate) fn location(&self, turn: TurnDigest) -> Option<FrameLocation> {
-        self.node.borrow().location(turn)
+    /// Positions of the first turns that fit into a message, and how many of `turns` these cover.
+    pub(crate) fn next_locations(
+        &self,
+        turns: &[TurnDigest],
+    ) -> (Vec<FrameLocation>, usize) {
+        let (found, covered) = self.node.borrow().next_locations(turns);
+        let locations = found.into_iter().map(|(_, location)| location);
+        (locations.collect(), covered)
     }
 
     /// Reads turns from the disk. `None` if one of them is damaged or the disk has failed.
--- a/crates/gateway/tests/storage_log.rs
+++ b/crates/gateway/tests/storage_log.rs
@@ -443,6 +443,32 @@
     assert_eq!(target.node.usage().turns, 2_000);
 }
 
+// Guards against a message with many large turns, which would exceed the limit for a frame: the
+// receiver closes the connection, and a leaving instance never gets rid of its records.
+#[tokio::test]
+async fn turns_are_handed_over_in_messages_of_bounded_size() {
+    let folder = Folder::new("handed");
+    let mut instance = founder(&folder, uncached(support::limits())).await;
+    let mut digests = vec![TurnDigest::of("unknown")];
+    for number in 0..10 {
+        let name = format!("turn-{number}");
+        digests.push(TurnDigest::of(&name));
+        let turn = TurnRecord {
+            input: Bytes::from(vec![b'x'; 400_000]),
+            ..turn_record(&name)
+        };
+        store(&mut instance, &turn).await;
+    }
+    let mut left = digests.as_slice();
+    let mut messages = Vec::new();
+    while !left.is_empty() {
+        let (turns, covered) = instance.node.next_locations(left);
+        messages.push(turns.len());
+        left = &left[covered..];
+    }
+    assert_eq!(messages, [2, 2, 2, 2, 2]);
+}
+
 /// Encodes records in the first format of the log.
 fn legacy_frames(records: &[LedgerRecord]) -> Vec<u8> {
     let mut frames = Vec::new();
