gateway: log and count limits that endpoints name

Cause looked for: whether limits are read at all, applied by each instance alone, or only to first sends. Nothing in logs or metrics could tell. Now a change of a limit is a log line, and requests to limited endpoints are counted; nothing else uses the limit yet.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -85,6 +85,9 @@
     is_suspended: bool,
     /// A response said that this run of the endpoint is about to stop.
     is_leaving: bool,
+    /// Requests per second that the endpoint accepts from all instances together, as of its last
+    /// response. None if it set no limit there.
+    limit_per_s: Option<f64>,
     /// Average time to first byte, divided by the service's average. Valid at `slowness_ms`.
     slowness: f64,
     slowness_ms: u64,
@@ -156,6 +159,7 @@
             paused_until_ms: 0,
             is_suspended: false,
             is_leaving: false,
+            limit_per_s: None,
             slowness: 1.0,
             slowness_ms: 0,
             error_rate: 0.0,
@@ -262,6 +266,20 @@
             .is_some_and(|endpoint| !std::mem::replace(&mut endpoint.is_leaving, true))
     }
 
+    /// Records the limit that a response of the endpoint named. Returns whether it has changed.
+    pub fn set_limit(&mut self, key: EndpointKey, limit_per_s: Option<f64>) -> bool {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.is_some_and(|endpoint| {
+            std::mem::replace(&mut endpoint.limit_per_s, limit_per_s) != limit_per_s
+        })
+    }
+
+    /// Whether the endpoint limits the requests that it accepts.
+    pub fn is_limited(&self, key: EndpointKey) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.is_some_and(|endpoint| endpoint.limit_per_s.is_some())
+    }
+
     /// Takes the load that an endpoint reports in the head of a response. It includes the
     /// request to which the response belongs.
     pub fn report(&mut self, now_ms: u64, key: EndpointKey, load: Load) {
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -125,6 +125,9 @@
     timeouts: SendTimeouts,
 ) -> Result<EndpointResponse, Outcome> {
     edge.balancer.borrow_mut().begin(pick.key);
+    if edge.balancer.borrow().is_limited(pick.key) {
+        edge.metrics.sent_to_limited_endpoint();
+    }
     let mut connection = PooledConnection {
         edge: Rc::clone(edge),
         key: pick.key,
@@ -281,6 +284,11 @@
             pick.id
         );
     }
+    let is_own_response = head.request_id.as_deref() == Some(&outgoing.request_id)
+        && parts.status != StatusCode::MISDIRECTED_REQUEST;
+    if is_own_response {
+        edge.record_endpoint_limit(pick, head.limit_per_s);
+    }
     connection.idle_ms = idle_ms(&parts.headers);
     let outcome = match classify_response(&head, parts.status, &outgoing.request_id) {
         Some(outcome) => outcome,
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -202,6 +202,17 @@
         );
     }
 
+    /// Records the rate limit that a response of an endpoint named, or that it named none.
+    pub(crate) fn record_endpoint_limit(&self, pick: &Pick, limit_per_s: Option<f64>) {
+        if self.balancer.borrow_mut().set_limit(pick.key, limit_per_s) {
+            log::info!(
+                "event=endpoint_limit endpoint={} limit_per_s={}",
+                pick.id,
+                OrNone(limit_per_s),
+            );
+        }
+    }
+
     /// Records the start of an endpoint's response: metrics, log, and the program's affinity to
     /// the endpoint. Failure responses are always logged, successes within the log budget.
     fn record_response(&self, admitted: &AdmittedCall, pick: &Pick, status: StatusCode) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::retry::Outcome;
@@ -23,6 +23,7 @@
     complete_s: HistogramVec,
     refusals: IntCounterVec,
     failures: IntCounterVec,
+    limited_sends: IntCounter,
     broken: IntGauge,
     open_connections: Rc<Cell<usize>>,
     open_calls: Rc<Cell<usize>>,
@@ -75,14 +76,20 @@
             "Sends without a usable answer, by what became of them",
             &["outcome"],
         );
+        let limited_sends = IntCounter::new(
+            "jayreel_limited_sends_total",
+            "Requests sent to endpoints that limit the rate of requests",
+        )
+        .expect("the names of metrics are valid");
         let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
             .expect("the names of metrics are valid");
         let registry = Registry::new();
-        let collectors: [Box<dyn prometheus::core::Collector>; 5] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
             Box::new(first_byte_s.clone()),
             Box::new(complete_s.clone()),
             Box::new(refusals.clone()),
             Box::new(failures.clone()),
+            Box::new(limited_sends.clone()),
             Box::new(broken.clone()),
         ];
         for collector in collectors {
@@ -96,6 +103,7 @@
             complete_s,
             refusals,
             failures,
+            limited_sends,
             broken,
             open_connections: Rc::default(),
             open_calls: Rc::default(),
@@ -125,6 +133,11 @@
         self.failures.with_label_values(&[outcome.as_str()]).inc();
     }
 
+    /// Counts a request to an endpoint that limits the rate of requests.
+    pub(crate) fn sent_to_limited_endpoint(&self) {
+        self.limited_sends.inc();
+    }
+
     /// Counts a stream that ended before it was complete.
     pub(crate) fn stream_interrupted(&self) {
         self.broken.inc();
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -101,6 +101,9 @@
     pub load: Option<Load>,
     /// The endpoint is about to stop and must get no new requests.
     pub is_leaving: bool,
+    /// Requests per second that the endpoint accepts from all instances together. None if it sets
+    /// no limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Decodes and builds the headers of callers and endpoints on one platform.
