gateway: keep to the limits that endpoints name, all instances together

Callers saw nothing yet; an endpoint in need got up to 123 requests in 4 s where its limit allowed 54, and its load was not relieved.

Change: the members of the storage group divide a limit among them, like the rates of customers, and an entry instance takes a token for each send (first sends, retries, resumed streams) to an endpoint with a limit. Members tell all entry instances of the limits that any of them has heard. What the endpoint can't take goes to others; if all have reached their limits, callers are refused at once with Retry-After from the next token. A response without a limit lifts it if its request was sent after the limit was named; the rate then doubles every second for three seconds. An unknown share begins without tokens, so restarts of members grant no burst.

Weighed: a part of the limit for each entry instance (callers fall on them unevenly), one member as owner of each limit (its loss stops the endpoint, its successor may grant twice).

Found by its own test on the way: a limit named in every response was reported to the members only once, because each response counted as a report.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -9,9 +9,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use jayreel_ledger::EndpointLimit;
 use slotmap::{SlotMap, new_key_type};
 
 use crate::directory::EndpointEntry;
+use crate::limit_view::LimitView;
 use crate::protocol::Load;
 
 new_key_type! {
@@ -85,9 +87,8 @@
     is_suspended: bool,
     /// A response said that this run of the endpoint is about to stop.
     is_leaving: bool,
-    /// Requests per second that the endpoint accepts from all instances together, as of its last
-    /// response. None if it set no limit there.
-    limit_per_s: Option<f64>,
+    /// The rate of requests that the endpoint accepts from all instances together.
+    limit: LimitView,
     /// Average time to first byte, divided by the service's average. Valid at `slowness_ms`.
     slowness: f64,
     slowness_ms: u64,
@@ -108,6 +109,8 @@
     pub address: SocketAddr,
     /// Whether it is in another availability zone than this instance.
     pub is_remote: bool,
+    /// Whether the endpoint limits the rate of requests, so that a token is needed.
+    pub needs_token: bool,
 }
 
 /// Load, errors and latency of all endpoints, as one entry instance observes them.
@@ -159,7 +162,7 @@
             paused_until_ms: 0,
             is_suspended: false,
             is_leaving: false,
-            limit_per_s: None,
+            limit: LimitView::default(),
             slowness: 1.0,
             slowness_ms: 0,
             error_rate: 0.0,
@@ -189,7 +192,8 @@
     /// Chooses the endpoint of a service with the lowest score. `affinity` is the identifier of
     /// the endpoint that ran the program's last turn; endpoints in `tried` are left out.
     ///
-    /// An endpoint that failed recently is chosen only if there is no other.
+    /// An endpoint that failed recently is chosen only if there is no other. One that has reached
+    /// its limit is not chosen.
     pub fn pick(
         &self,
         now_ms: u64,
@@ -197,20 +201,58 @@
         affinity: Option<&str>,
         tried: &[String],
     ) -> Option<Pick> {
-        let usable = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.accepts(service) && !tried.contains(&endpoint.entry.id)
-        });
-        let best = usable.min_by(|(_, a), (_, b)| {
-            let a = self.score(now_ms, a, affinity);
-            let b = self.score(now_ms, b, affinity);
-            a.total_cmp(&b)
+        let scored = self.scored(now_ms, service, affinity, tried);
+        let best = scored.min_by(|(_, _, a), (_, _, b)| a.total_cmp(b));
+        best.map(|(key, endpoint, _)| self.picked(now_ms, key, endpoint))
+    }
+
+    /// Like `pick`, but all endpoints that may be chosen, the best first. Ends with the first one
+    /// that needs no token.
+    pub fn candidates(
+        &self,
+        now_ms: u64,
+        service: &str,
+        affinity: Option<&str>,
+        tried: &[String],
+    ) -> Vec<Pick> {
+        let mut scored: Vec<_> = self.scored(now_ms, service, affinity, tried).collect();
+        scored.sort_by(|(_, _, a), (_, _, b)| a.total_cmp(b));
+        let needing = scored
+            .iter()
+            .take_while(|(_, endpoint, _)| endpoint.limit.needs_token(now_ms))
+            .count();
+        let scored = scored.into_iter().take(needing + 1);
+        scored
+            .map(|(key, endpoint, _)| self.picked(now_ms, key, endpoint))
+            .collect()
+    }
+
+    /// The endpoints that may be chosen, with their scores.
+    fn scored<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &'a str,
+        affinity: Option<&'a str>,
+        tried: &'a [String],
+    ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint, f64)> {
+        let usable = self.endpoints.iter().filter(move |(_, endpoint)| {
+            endpoint.accepts(service)
+                && !tried.contains(&endpoint.entry.id)
+                && endpoint.limit.wait_ms(now_ms) == 0
         });
-        best.map(|(key, endpoint)| Pick {
+        usable.map(move |(key, endpoint)| {
+            (key, endpoint, self.score(now_ms, endpoint, affinity))
+        })
+    }
+
+    fn picked(&self, now_ms: u64, key: EndpointKey, endpoint: &Endpoint) -> Pick {
+        Pick {
             key,
             id: endpoint.entry.id.clone(),
             address: endpoint.entry.address,
             is_remote: endpoint.entry.availability_zone != self.availability_zone,
-        })
+            needs_token: endpoint.limit.needs_token(now_ms),
+        }
     }
 
     /// Estimated load per slot with one more request, corrected by penalties and bonuses.
@@ -235,13 +277,16 @@
     }
 
     /// Whether every endpoint of a service has more work than it can queue, judged by its
-    /// estimated load.
+    /// estimated load, or has reached its limit.
     pub fn is_overloaded(&self, now_ms: u64, service: &str) -> bool {
         let mut usable = self
             .endpoints
             .values()
             .filter(|endpoint| endpoint.accepts(service));
-        usable.all(|endpoint| endpoint.load(now_ms) > OVERLOAD_LOAD_PER_SLOT)
+        usable.all(|endpoint| {
+            endpoint.load(now_ms) > OVERLOAD_LOAD_PER_SLOT
+                || endpoint.limit.wait_ms(now_ms) > 0
+        })
     }
 
     /// Counts a request as in flight at an endpoint.
@@ -266,18 +311,51 @@
             .is_some_and(|endpoint| !std::mem::replace(&mut endpoint.is_leaving, true))
     }
 
-    /// Records the limit that a response of the endpoint named. Returns whether it has changed.
-    pub fn set_limit(&mut self, key: EndpointKey, limit_per_s: Option<f64>) -> bool {
-        let endpoint = self.endpoints.get_mut(key);
-        endpoint.is_some_and(|endpoint| {
-            std::mem::replace(&mut endpoint.limit_per_s, limit_per_s) != limit_per_s
-        })
+    /// Records the limit that a response of the endpoint named, or that it named none. The request
+    /// was sent at `sent_ms`. Returns what to tell the members, if they should be told.
+    pub fn hear_limit(
+        &mut self,
+        now_ms: u64,
+        sent_ms: u64,
+        key: EndpointKey,
+        limit_per_s: Option<f64>,
+    ) -> Option<EndpointLimit> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        let is_news = endpoint.limit.hear(now_ms, sent_ms, limit_per_s);
+        is_news.then(|| endpoint.limit_report(now_ms))
+    }
+
+    /// Takes the limits that a member listed in the response to a request sent at `requested_ms`.
+    pub fn learn_limits(&mut self, requested_ms: u64, limits: &[EndpointLimit]) {
+        for limit in limits {
+            let key = self.by_id.get(&limit.endpoint).copied();
+            let endpoint = key.and_then(|key| self.endpoints.get_mut(key));
+            if let Some(endpoint) = endpoint {
+                endpoint.limit.learn(requested_ms, limit.report);
+            }
+        }
+    }
+
+    /// Records that no member has a token for an endpoint for `wait_ms`.
+    pub fn exhaust_limit(&mut self, now_ms: u64, key: EndpointKey, wait_ms: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.limit.exhaust(now_ms, wait_ms);
+        }
+    }
+
+    /// What is known about the limit of an endpoint, for the members. `None` if it is gone.
+    pub fn limit_report(&self, now_ms: u64, key: EndpointKey) -> Option<EndpointLimit> {
+        let endpoint = self.endpoints.get(key)?;
+        Some(endpoint.limit_report(now_ms))
     }
 
-    /// Whether the endpoint limits the requests that it accepts.
-    pub fn is_limited(&self, key: EndpointKey) -> bool {
-        let endpoint = self.endpoints.get(key);
-        endpoint.is_some_and(|endpoint| endpoint.limit_per_s.is_some())
+    /// If every endpoint of a service has reached its limit: how long until one of them may
+    /// accept a request again, in milliseconds.
+    pub fn limit_wait_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+        let endpoints = self.endpoints.values();
+        let usable = endpoints.filter(|endpoint| endpoint.accepts(service));
+        let wait_ms = usable.map(|endpoint| endpoint.limit.wait_ms(now_ms)).min();
+        wait_ms.filter(|wait_ms| *wait_ms > 0)
     }
 
     /// Takes the load that an endpoint reports in the head of a response. It includes the
@@ -370,6 +448,13 @@
         self.entry.service == service && !is_ending
     }
 
+    fn limit_report(&self, now_ms: u64) -> EndpointLimit {
+        EndpointLimit {
+            endpoint: self.entry.id.clone(),
+            report: self.limit.report(now_ms),
+        }
+    }
+
     /// Estimated number of requests, running and waiting, per slot.
     fn load(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.reported_ms) as f64;
--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -24,6 +24,13 @@
 /// one read takes.
 const STALE_RETRY_AFTER_MS: u64 = 500;
 
+/// Range over which the returns of callers are spread that were refused because of endpoints'
+/// limits, in milliseconds.
+const LIMIT_RETRY_SPREAD_MS: u64 = 500;
+
+/// Bounds of Retry-After for such callers, in milliseconds. The limit may be lifted at any time.
+const LIMIT_RETRY_AFTER_BOUNDS_MS: (u64, u64) = (150, 1_000);
+
 /// Describes the rate-limit token that a request needs.
 pub(crate) fn quota_request(
     edge: &Edge,
@@ -131,14 +138,32 @@
             "no_endpoint",
             NO_ENDPOINT_RETRY_AFTER_MS,
         )),
-        true if balancer.is_overloaded(now_ms(), service) => Err(Refusal::retry_later(
-            "overloaded",
-            NO_CAPACITY_RETRY_AFTER_MS,
-        )),
+        true if balancer.is_overloaded(now_ms(), service) => {
+            Err(overload_refusal(edge, service, "overloaded"))
+        }
         true => Ok(()),
     }
 }
 
+/// Refusal while no endpoint of a service can take a request. If all of them have reached their
+/// limits, Retry-After is the time until the next token, and up to `LIMIT_RETRY_SPREAD_MS` more so
+/// that callers do not all return for the same one.
+pub(crate) fn overload_refusal(
+    edge: &Edge,
+    service: &str,
+    reason: &'static str,
+) -> Refusal {
+    match edge.balancer.borrow().limit_wait_ms(now_ms(), service) {
+        Some(wait_ms) => {
+            let spread_ms = rand::rng().random_range(0..LIMIT_RETRY_SPREAD_MS);
+            let (min_ms, max_ms) = LIMIT_RETRY_AFTER_BOUNDS_MS;
+            let retry_after_ms = (wait_ms + spread_ms).clamp(min_ms, max_ms);
+            Refusal::retry_later("endpoint_limit", retry_after_ms)
+        }
+        None => Refusal::retry_later(reason, NO_CAPACITY_RETRY_AFTER_MS),
+    }
+}
+
 /// Refuses a request early if it needs the storage group and the contact with it is lost or its
 /// disks are full. Budgets and stored turns need a quorum; a rate-limit token needs one member.
 pub(crate) fn check_group(
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -16,7 +16,7 @@
 use crate::config::{CallKind, Route};
 use crate::edge::admission::{
     check_endpoints, check_group, choose_service, find_customer, find_route,
-    quota_request, read_body,
+    overload_refusal, quota_request, read_body,
 };
 use crate::edge::body::CallBody;
 use crate::edge::collect::{CollectError, collect};
@@ -243,7 +243,7 @@
     let mut attempt = Attempt::default();
     let mut tried = Vec::new();
     loop {
-        let pick = pick_endpoint(edge, admitted, &attempt, &tried)?;
+        let pick = pick_endpoint(edge, admitted, &attempt, &tried).await?;
         tried.push(pick.id.clone());
         let timeouts = admitted.send_timeouts(&attempt);
         let sent_ms = now_ms();
@@ -310,7 +310,7 @@
 }
 
 /// Picks an endpoint that is not in `tried`, or returns the final response for the caller.
-pub(crate) fn pick_endpoint(
+pub(crate) async fn pick_endpoint(
     edge: &Edge,
     admitted: &AdmittedCall,
     attempt: &Attempt,
@@ -324,11 +324,22 @@
     }
     let program = admitted.program().unwrap_or_default();
     let affinity = edge.affinity.borrow().get(program).cloned();
-    let balancer = edge.balancer.borrow();
-    let pick = balancer.pick(now_ms(), &admitted.service, affinity.as_deref(), tried);
+    let service = &admitted.service;
+    let pick = edge
+        .pick_within_limits(service, affinity.as_deref(), tried)
+        .await;
     *admitted.endpoint.borrow_mut() = pick.as_ref().map(|pick| pick.id.clone());
     pick.ok_or_else(|| match attempt.may_have_run {
         true => Refusal::outcome_unknown(StatusCode::BAD_GATEWAY, "no_other_endpoint"),
+        false
+            if edge
+                .balancer
+                .borrow()
+                .limit_wait_ms(now_ms(), service)
+                .is_some() =>
+        {
+            overload_refusal(edge, service, "no_endpoint")
+        }
         false => Refusal::retry_later("no_endpoint", NO_ENDPOINT_RETRY_AFTER_MS),
     })
 }
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -125,9 +125,6 @@
     timeouts: SendTimeouts,
 ) -> Result<EndpointResponse, Outcome> {
     edge.balancer.borrow_mut().begin(pick.key);
-    if edge.balancer.borrow().is_limited(pick.key) {
-        edge.metrics.sent_to_limited_endpoint();
-    }
     let mut connection = PooledConnection {
         edge: Rc::clone(edge),
         key: pick.key,
@@ -135,6 +132,7 @@
         idle_ms: 0,
         max_idle: outgoing.max_idle,
     };
+    let sent_ms = now_ms();
     let timeout = Duration::from_millis(timeouts.head_timeout_ms);
     let exchange = exchange(edge, pick, outgoing, last_event_id, timeouts.time_left_ms);
     let sent = tokio::time::timeout(timeout, exchange).await;
@@ -178,7 +176,7 @@
             ));
         }
     };
-    check_response(edge, pick, outgoing, response, connection)
+    check_response(edge, pick, outgoing, sent_ms, response, connection)
 }
 
 /// Sends a request on an idle connection, or else on a new one.
@@ -263,12 +261,13 @@
     request
 }
 
-/// Decides whether a response can be passed to the caller, and records the load and failure that
-/// it reports.
+/// Decides whether a response can be passed to the caller, and records the load, limit and failure
+/// that it reports. The request was sent at `sent_ms`.
 fn check_response(
     edge: &Edge,
     pick: &Pick,
     outgoing: &OutgoingRequest,
+    sent_ms: u64,
     response: Response<Incoming>,
     mut connection: PooledConnection,
 ) -> Result<EndpointResponse, Outcome> {
@@ -287,7 +286,7 @@
     let is_own_response = head.request_id.as_deref() == Some(&outgoing.request_id)
         && parts.status != StatusCode::MISDIRECTED_REQUEST;
     if is_own_response {
-        edge.record_endpoint_limit(pick, head.limit_per_s);
+        edge.record_endpoint_limit(pick.key, sent_ms, head.limit_per_s);
     }
     connection.idle_ms = idle_ms(&parts.headers);
     let outcome = match classify_response(&head, parts.status, &outgoing.request_id) {
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -12,9 +12,9 @@
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use jayreel_ledger::{
-    BudgetCheck, Decision, EndpointCursor, Group, Member, MemberRequest, MemberResponse,
-    Phase, QuotaRequest, Reservation, Settlement, SharedConfiguration, SharedEndpoints,
-    TurnRecord, ZonePresence,
+    BudgetCheck, Decision, EndpointCursor, EndpointLimit, Group, Member, MemberRequest,
+    MemberResponse, Phase, QuotaRequest, Reservation, SendGrant, Settlement,
+    SharedConfiguration, SharedEndpoints, TurnRecord, ZonePresence,
 };
 use jayreel_membership::rank;
 
@@ -514,6 +514,37 @@
         }
     }
 
+    /// Requests a token to send a request to one of `limits`, the best endpoint first, from one
+    /// member. `None` without a usable response.
+    pub async fn take_send(
+        self: &Rc<Self>,
+        member: &Member,
+        limits: Vec<EndpointLimit>,
+    ) -> Option<SendGrant> {
+        let request = MemberRequest::TakeSend(limits);
+        let group_version = self.group().version;
+        match self
+            .send_request(group_version, member, request, MEMORY_TIMEOUT_MS)
+            .await
+        {
+            Ok(MemberResponse::Send(grant)) => Some(grant),
+            Ok(MemberResponse::GroupSuperseded(newer)) => {
+                self.adopt(newer);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Tells all members what an endpoint said about its limit, without waiting for responses.
+    pub fn report_limit(self: &Rc<Self>, limit: EndpointLimit) {
+        let group = self.group();
+        for member in &group.members {
+            let request = MemberRequest::ReportLimits(vec![limit.clone()]);
+            drop(self.spawn_request(group.version, member, request, MEMORY_TIMEOUT_MS));
+        }
+    }
+
     /// Reads the configuration from the nearest member. Its content is included if it differs from
     /// `known_revision`.
     pub async fn nearest_configuration(
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod collect;
 mod exchange;
+mod limits;
 pub(crate) mod listen;
 mod members;
 mod pool;
@@ -35,6 +36,7 @@
 use crate::edge::refusal::Refusal;
 use crate::freshness::Freshness;
 use crate::link::LinkPool;
+use crate::log_fields::OrNone;
 use crate::log_queue::LineBudget;
 use crate::metrics::Metrics;
 use crate::protocol::{CallHead, CallProtocol};
@@ -202,17 +204,6 @@
         );
     }
 
-    /// Records the rate limit that a response of an endpoint named, or that it named none.
-    pub(crate) fn record_endpoint_limit(&self, pick: &Pick, limit_per_s: Option<f64>) {
-        if self.balancer.borrow_mut().set_limit(pick.key, limit_per_s) {
-            log::info!(
-                "event=endpoint_limit endpoint={} limit_per_s={}",
-                pick.id,
-                OrNone(limit_per_s),
-            );
-        }
-    }
-
     /// Records the start of an endpoint's response: metrics, log, and the program's affinity to
     /// the endpoint. Failure responses are always logged, successes within the log budget.
     fn record_response(&self, admitted: &AdmittedCall, pick: &Pick, status: StatusCode) {
@@ -292,18 +283,6 @@
     }
 }
 
-/// Formats an optional value for a log line; an absent one as `none`.
-struct OrNone<T>(Option<T>);
-
-impl<T: fmt::Display> fmt::Display for OrNone<T> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.0 {
-            Some(value) => write!(f, "{value}"),
-            None => f.write_str("none"),
-        }
-    }
-}
-
 /// Identifies a request in log lines. An unknown program or customer is `none`.
 struct RequestLogFields {
     request_id: String,
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -13,13 +13,14 @@
 use tokio::sync::mpsc;
 
 use crate::clock::now_ms;
+use crate::edge::Edge;
 use crate::edge::body::{BodyChunk, CallBody};
 use crate::edge::call::{AdmittedCall, final_refusal, pick_endpoint};
 use crate::edge::collect::collect;
 use crate::edge::exchange::{EndpointResponse, PooledConnection, send};
 use crate::edge::refusal::Refusal;
-use crate::edge::{Edge, OrNone};
 use crate::events::{EventReader, StreamEvent};
+use crate::log_fields::OrNone;
 use crate::retry::{Attempt, Outcome, Step};
 
 /// Events buffered for a caller that reads slowly. Reading from the endpoint stops while the
@@ -125,7 +126,8 @@
     async fn start(&mut self) -> Result<EndpointResponse, Refusal> {
         loop {
             let pick =
-                pick_endpoint(&self.edge, &self.admitted, &self.attempt, &self.tried)?;
+                pick_endpoint(&self.edge, &self.admitted, &self.attempt, &self.tried)
+                    .await?;
             self.tried.push(pick.id.clone());
             let sent_ms = now_ms();
             let timeouts = self.admitted.send_timeouts(&self.attempt);
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -199,7 +199,12 @@
     let mut watcher = EndpointWatcher::default();
     wait_for_group(&edge).await;
     loop {
+        let requested_ms = now_ms();
         let shared = edge.members.endpoints(view.update_cursor()).await;
+        if let Some(shared) = &shared {
+            let mut balancer = edge.balancer.borrow_mut();
+            balancer.learn_limits(requested_ms, &shared.limits);
+        }
         let update = shared.and_then(decode_endpoint_update);
         let changes = update.and_then(|update| view.apply_update(now_ms(), update));
         if let Some(changes) = changes {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::retry::Outcome;
@@ -23,7 +23,7 @@
     complete_s: HistogramVec,
     refusals: IntCounterVec,
     failures: IntCounterVec,
-    limited_sends: IntCounter,
+    limited_sends: IntCounterVec,
     broken: IntGauge,
     open_connections: Rc<Cell<usize>>,
     open_calls: Rc<Cell<usize>>,
@@ -76,11 +76,11 @@
             "Sends without a usable answer, by what became of them",
             &["outcome"],
         );
-        let limited_sends = IntCounter::new(
+        let limited_sends = counter(
             "jayreel_limited_sends_total",
-            "Requests sent to endpoints that limit the rate of requests",
-        )
-        .expect("the names of metrics are valid");
+            "Requests for tokens of endpoints that limit the rate of requests, by outcome",
+            &["outcome"],
+        );
         let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
             .expect("the names of metrics are valid");
         let registry = Registry::new();
@@ -133,9 +133,9 @@
         self.failures.with_label_values(&[outcome.as_str()]).inc();
     }
 
-    /// Counts a request to an endpoint that limits the rate of requests.
-    pub(crate) fn sent_to_limited_endpoint(&self) {
-        self.limited_sends.inc();
+    /// Counts a request for a token of endpoints that limit the rate of requests.
+    pub(crate) fn limited_send(&self, outcome: &str) {
+        self.limited_sends.with_label_values(&[outcome]).inc();
     }
 
     /// Counts a stream that ended before it was complete.
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use jayreel_ledger::{
-    CopyPart, FrameLocation, Group, LedgerRecord, LedgerState, Member, MembershipState,
-    RateLimit, RateShare, RateTolerance, Reply, Request, TurnDigest, TurnRecord,
-    encode_frame, turn_digest,
+    CopyPart, EndpointLimits, FrameLocation, Group, LedgerRecord, LedgerState, Member,
+    MembershipState, RateLimit, RateShare, RateTolerance, Reply, Request, TurnDigest,
+    TurnRecord, encode_frame, turn_digest,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -189,6 +189,8 @@
     pub(super) freshness: Freshness,
     /// Endpoints in the store, which entry instances request.
     pub(super) endpoints: EndpointView,
+    /// This instance's share of the rates that endpoints accept.
+    pub(super) endpoint_limits: EndpointLimits,
     /// Entry instances of this instance's availability zone.
     pub(super) presence: PresenceTracker,
     /// The configuration in the encoding of the store. Empty without one.
@@ -243,6 +245,7 @@
             previous_shares: None,
             freshness: Freshness::default(),
             endpoints: EndpointView::new(start),
+            endpoint_limits: EndpointLimits::default(),
             presence: PresenceTracker::default(),
             configuration: Bytes::new(),
             configuration_revision: 0,
@@ -264,6 +267,11 @@
         self.configuration_revision
     }
 
+    /// The limits of endpoints that were reported.
+    pub fn endpoint_limits(&self) -> &EndpointLimits {
+        &self.endpoint_limits
+    }
+
     /// Whether the instance is a member of the newest group known.
     pub fn is_member(&self) -> bool {
         self.group.contains(&self.name)
@@ -319,6 +327,7 @@
             }
             Event::Tick => {
                 self.state.expire(now_ms);
+                self.endpoint_limits.expire(now_ms);
                 self.clean(now_ms)
             }
         }
--- a/crates/gateway/src/storage/requests.rs
+++ b/crates/gateway/src/storage/requests.rs
@@ -1,11 +1,13 @@
 //! Handling of requests from other instances.
 
 use jayreel_ledger::{
-    EndpointCursor, LedgerRecord, MemberRequest, MemberResponse, MembershipState,
-    ProgramKey, QuotaPurpose, QuotaRequest, Reply, Request, Reservation,
+    EndpointCursor, EndpointLimit, LedgerRecord, MemberRequest, MemberResponse,
+    MembershipState, ProgramKey, QuotaPurpose, QuotaRequest, Reply, Request, Reservation,
     SharedConfiguration, SharedEndpoints,
 };
 
+use crate::log_fields::OrNone;
+
 use super::node::{ConnectionKey, Effect, Node};
 
 impl Node {
@@ -68,6 +70,17 @@
                 }
                 effects
             }
+            MemberRequest::ReportLimits(limits) => {
+                for limit in &limits {
+                    self.report_limit(now_ms, limit);
+                }
+                vec![reply_now(MemberResponse::Done)]
+            }
+            MemberRequest::TakeSend(candidates) if self.is_voting() => {
+                let shares = self.shares(now_ms);
+                let grant = self.endpoint_limits.take(now_ms, &candidates, shares);
+                vec![reply_now(MemberResponse::Send(grant))]
+            }
             MemberRequest::Chain {
                 turn,
                 max_chain_turns,
@@ -186,6 +199,26 @@
         version.is_some_and(|version| version + 1 >= self.group.version)
     }
 
+    /// Takes an entry instance's report about the limit of an endpoint.
+    fn report_limit(&mut self, now_ms: u64, limit: &EndpointLimit) {
+        if self.endpoint_limits.report(now_ms, limit) {
+            let limit_per_s = limit.report.limit_per_s;
+            log::info!(
+                "event=endpoint_limit endpoint={} limit_per_s={} source=report",
+                limit.endpoint,
+                OrNone(limit_per_s),
+            );
+        }
+    }
+
+    /// Number of members among which the rates of customers and endpoints are divided.
+    fn shares(&self, now_ms: u64) -> usize {
+        match self.previous_shares {
+            Some((until_ms, shares)) if now_ms < until_ms => shares,
+            _ => self.group.members.len(),
+        }
+    }
+
     /// Grants quota for each entry of `quota_requests`. Returns the response and the records of the
     /// grants.
     fn grant_quota(
@@ -194,10 +227,7 @@
         configuration_version: u64,
         quota_requests: &[QuotaRequest],
     ) -> (MemberResponse, Vec<LedgerRecord>) {
-        let shares = match self.previous_shares {
-            Some((until_ms, shares)) if now_ms < until_ms => shares,
-            _ => self.group.members.len(),
-        };
+        let shares = self.shares(now_ms);
         let mut granted = Vec::new();
         let mut records = Vec::new();
         for quota_request in quota_requests {
@@ -273,6 +303,7 @@
                 revision: update.revision,
                 is_complete: update.is_complete,
                 content: content.into(),
+                limits: self.endpoint_limits.current(now_ms),
             }),
             Err(error) => {
                 log::error!("event=endpoints_unwritable reason={error:?}");
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -281,9 +281,11 @@
             ("queued_bytes", usage.queued_bytes),
             ("read_bytes", usage.read_bytes),
             ("reply_bytes", self.reply_budget.used_bytes() as u64),
+            ("endpoint_limits", node.endpoint_limits().len() as u64),
         ];
         let counters = [
             ("copied_records", self.copied_records.get()),
+            ("evicted_endpoint_limits", node.endpoint_limits().evicted()),
             ("rejected_disk_full", usage.rejected_disk_full),
             ("rejected_queue_full", usage.rejected_queue_full),
             ("rejected_reads_full", usage.rejected_reads_full),
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -1,6 +1,7 @@
 //! Choice of endpoints by the load balancer.
 
 use jayreel_gateway::{Balancer, EndpointEntry, EndpointKey, Load};
+use jayreel_ledger::{EndpointLimit, LimitReport};
 use test_case::test_case;
 
 fn entry(id: &str, zone: &str) -> EndpointEntry {
@@ -265,3 +266,98 @@
     balancer.report(0, one.key, largest);
     assert_eq!(picked(&balancer, 0), "two");
 }
+
+fn limit(id: &str, limit_per_s: Option<f64>, age_ms: u64) -> EndpointLimit {
+    EndpointLimit {
+        endpoint: id.to_string(),
+        report: LimitReport {
+            limit_per_s,
+            age_ms,
+        },
+    }
+}
+
+fn key_of(balancer: &Balancer, id: &str) -> EndpointKey {
+    let others = ["near", "far"].map(str::to_string);
+    let others: Vec<String> = others.into_iter().filter(|other| other != id).collect();
+    let pick = balancer.pick(0, "engines", None, &others);
+    pick.expect("the service has the endpoint").key
+}
+
+/// One endpoint has reached its limit, then all have. What one cannot take goes to others first;
+/// when nothing is left, it is known when the next request may be sent.
+#[test]
+fn endpoint_at_its_limit_is_left_out() {
+    let mut balancer = balancer(&[("near", "a"), ("far", "b")]);
+    let (near, far) = (key_of(&balancer, "near"), key_of(&balancer, "far"));
+    assert!(balancer.hear_limit(1_000, 900, near, Some(5.0)).is_some());
+    let ids = |balancer: &Balancer, now_ms| {
+        let candidates = balancer.candidates(now_ms, "engines", None, &[]);
+        let ids = candidates
+            .into_iter()
+            .map(|pick| (pick.id, pick.needs_token));
+        ids.collect::<Vec<_>>()
+    };
+    let near_then_far = [("near".to_string(), true), ("far".to_string(), false)];
+    assert_eq!(ids(&balancer, 1_000), near_then_far);
+    balancer.exhaust_limit(1_000, near, 200);
+    assert_eq!(ids(&balancer, 1_100), near_then_far[1..]);
+    assert_eq!(balancer.limit_wait_ms(1_100, "engines"), None);
+    balancer.hear_limit(1_100, 1_050, far, Some(5.0));
+    balancer.exhaust_limit(1_100, far, 300);
+    assert_eq!(balancer.pick(1_150, "engines", None, &[]), None);
+    assert!(balancer.is_overloaded(1_150, "engines"));
+    assert_eq!(balancer.limit_wait_ms(1_150, "engines"), Some(50));
+    assert_eq!(ids(&balancer, 1_200).len(), 1);
+}
+
+/// Responses overtake each other. One without a limit lifts it only if its request was sent after
+/// the limit was named.
+#[test]
+fn response_to_an_earlier_request_does_not_lift_a_limit() {
+    let mut balancer = balancer(&[("near", "a")]);
+    let near = key_of(&balancer, "near");
+    let needs_token = |balancer: &Balancer, now_ms| {
+        let pick = balancer.pick(now_ms, "engines", None, &[]);
+        pick.expect("an endpoint").needs_token
+    };
+    balancer.hear_limit(1_000, 900, near, Some(5.0));
+    assert_eq!(balancer.hear_limit(1_100, 950, near, None), None);
+    assert!(needs_token(&balancer, 1_100));
+    let lifted = balancer.hear_limit(1_200, 1_050, near, None);
+    assert_eq!(lifted, Some(limit("near", None, 150)));
+    assert!(!needs_token(&balancer, 1_200));
+}
+
+/// An instance that has not heard of a limit itself learns it from a member, and needs tokens as
+/// long as the member lists it, even once the endpoint itself names none.
+#[test]
+fn limit_is_learned_from_a_member() {
+    let mut balancer = balancer(&[("near", "a")]);
+    let near = key_of(&balancer, "near");
+    let needs_token = |balancer: &Balancer, now_ms| {
+        let pick = balancer.pick(now_ms, "engines", None, &[]);
+        pick.expect("an endpoint").needs_token
+    };
+    balancer.learn_limits(2_000, &[limit("near", Some(5.0), 100)]);
+    assert!(needs_token(&balancer, 2_000));
+    assert!(balancer.hear_limit(2_200, 2_100, near, None).is_some());
+    assert!(needs_token(&balancer, 2_200));
+    assert!(!needs_token(&balancer, 3_000));
+}
+
+/// An endpoint names the same limit in every response. The members are told once a second.
+#[test]
+fn unchanged_limit_is_not_reported_again_at_once() {
+    let mut balancer = balancer(&[("near", "a")]);
+    let near = key_of(&balancer, "near");
+    let mut reports = 0;
+    for now_ms in (10_000..13_000).step_by(100) {
+        reports += usize::from(
+            balancer
+                .hear_limit(now_ms, now_ms - 50, near, Some(5.0))
+                .is_some(),
+        );
+    }
+    assert_eq!(reports, 3);
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 //! This crate does no I/O and reads no clock.
 
 mod admission;
+mod endpoint_limits;
 mod group;
 mod legacy_log;
 mod log;
@@ -20,6 +21,9 @@
 mod state;
 
 pub use admission::{BudgetCheck, Decision, Phase};
+pub use endpoint_limits::{
+    EndpointLimit, EndpointLimits, LimitReport, SendGrant, limit_lifetime_ms,
+};
 pub use group::{CatchUp, Group, Member, MembershipState};
 pub use legacy_log::read_legacy_record;
 pub use log::{
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::endpoint_limits::{EndpointLimit, SendGrant};
 use crate::group::Group;
 use crate::rate::{QuotaPurpose, RateLimit};
 use crate::record::{
@@ -116,6 +117,10 @@
     },
     /// Read turns, for a copy.
     CopyTurns(Vec<TurnDigest>),
+    /// What endpoints said about their limits.
+    ReportLimits(Vec<EndpointLimit>),
+    /// Take a token to send a request to one of these endpoints, the best one first.
+    TakeSend(Vec<EndpointLimit>),
 }
 
 /// A position in the sequence of endpoint changes that one storage instance serves.
@@ -149,6 +154,8 @@
     pub is_complete: bool,
     /// The changes, encoded with postcard by the gateway.
     pub content: bytes::Bytes,
+    /// All endpoints that limit the rate of requests, as the member knows them now.
+    pub limits: Vec<EndpointLimit>,
 }
 
 /// A configuration, with the age of the evidence that it was the newest.
@@ -220,4 +227,6 @@
     },
     /// The member's disk has no room for the records. They were not written.
     StorageFull,
+    /// Whether a token to send a request was granted.
+    Send(SendGrant),
 }
