gateway: an endpoint that sends without a pause leaves time for other callers

Callers saw 503 group_lost or late responses while an endpoint sent bytes without end to somebody else.

Cause: one thread serves all connections, and the HTTP parser reads on for as long as there are bytes. A poll of the connection's task took about a second in the unoptimised build, so that the instance did not hear from the storage group for longer than 0.45 s.

Change: connections to endpoints and to the store yield to other tasks after 64 KiB without a wait.

--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::fair_stream::FairStream;
+
 /// Idle time after which a connection is probed. A connection can go silent for good without a
 /// reset, which only a probe reveals.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -78,7 +80,7 @@
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(FairStream::new(stream)))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod edge;
 mod endpoint_view;
 mod events;
+mod fair_stream;
 mod freshness;
 pub mod http_connection;
 mod limit_view;
