gateway: tell crashes of endpoints from lost connections, and log what was lost

Cause looked for: repeats of one request, crashes by load that moves, or connections lost without a crash. Neither crashes nor repeated requests could be seen in the logs. Now each lost request is logged with a fingerprint that stays the same when its caller sends it again, and an endpoint that accepts no connection after one was lost is logged and counted as crashed. The digest is made of method, host, target, customer and body; neither is kept or logged.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -9,7 +9,9 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use jayreel_ledger::{Decision, ProgramKey, Reservation, TurnDigest, TurnRecord};
+use jayreel_ledger::{
+    Decision, Fingerprint, ProgramKey, Reservation, TurnDigest, TurnRecord,
+};
 
 use crate::balance::Pick;
 use crate::clock::now_ms;
@@ -186,6 +188,15 @@
     check_endpoints(edge, &service)?;
     check_group(edge, &route, &call, customer.is_some())?;
     let body = read_body(&configuration, body, timeout_ms).await?;
+    let target = origin_form(parts);
+    let customer_name = customer.as_ref().map_or("", |(name, _)| name.as_str());
+    let fingerprint = Fingerprint::of(&[
+        parts.method.as_str().as_bytes(),
+        call.host.as_bytes(),
+        target.to_string().as_bytes(),
+        customer_name.as_bytes(),
+        &body,
+    ]);
     let token = match &customer {
         Some((name, customer)) => {
             let request = quota_request(edge, &route, &call, name, customer);
@@ -204,10 +215,11 @@
         service,
         outgoing: OutgoingRequest {
             method: parts.method.clone(),
-            uri: origin_form(parts),
+            uri: target,
             headers: parts.headers.clone(),
             body,
             request_id: call.request_id.clone(),
+            fingerprint,
             customer: customer.map(|(name, _)| name),
             priority: engine.map(|_| engine_priority(rank, program_time_left_ms(&call))),
             max_idle: max_connections / IDLE_CONNECTION_DIVISOR + MIN_IDLE_CONNECTIONS,
@@ -264,8 +276,12 @@
                     Outcome::Failed
                 }
                 Err(error) => {
-                    if error == CollectError::TooLong {
-                        set_aside(edge, &pick, "body");
+                    match error {
+                        CollectError::TooLong => set_aside(edge, &pick, "body"),
+                        CollectError::BrokenOff => {
+                            edge.record_lost_request(&pick, &admitted.outgoing);
+                        }
+                        CollectError::TimedOut | CollectError::OutOfMemory => {}
                     }
                     let outgoing = &admitted.outgoing;
                     edge.record_endpoint_failure(
@@ -300,7 +316,7 @@
     let time_left = Duration::from_millis(admitted.time_left_ms());
     let collected = collect(&edge.body_memory, upstream.body);
     let collected = tokio::time::timeout(time_left, collected).await;
-    let content = collected.unwrap_or(Err(CollectError::BrokenOff))?;
+    let content = collected.unwrap_or(Err(CollectError::TimedOut))?;
     let headers = edge.protocol.caller_headers(&upstream.headers);
     upstream.connection.release();
     let mut response = Response::new(CallBody::Buffered(Some(content)));
--- a/crates/gateway/src/edge/collect.rs
+++ b/crates/gateway/src/edge/collect.rs
@@ -22,6 +22,8 @@
 pub(crate) enum CollectError {
     /// The connection was lost before the end of the body.
     BrokenOff,
+    /// It was not complete by the caller's deadline.
+    TimedOut,
     /// It is longer than a body may be.
     TooLong,
     /// Too many bodies are being read at the same time.
@@ -32,6 +34,7 @@
     pub(crate) fn reason(self) -> &'static str {
         match self {
             CollectError::BrokenOff => "response body broke off",
+            CollectError::TimedOut => "response body timed out",
             CollectError::TooLong => "response body too long",
             CollectError::OutOfMemory => "too many response bodies in memory",
         }
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use jayreel_ledger::Fingerprint;
 
 use crate::balance::{EndpointKey, Pick};
 use crate::clock::{now_ms, pause};
@@ -19,7 +20,7 @@
 
 /// Connect timeout to an endpoint, in milliseconds: many times the round trip and handshake
 /// between the zones that are farthest apart.
-const CONNECT_TIMEOUT_MS: u64 = 120;
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 120;
 
 /// Pause between two attempts to connect to an unreachable endpoint, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 300;
@@ -44,6 +45,8 @@
     pub body: Bytes,
     /// Endpoints repeat it in their responses.
     pub request_id: String,
+    /// The same if the caller sends the request again.
+    pub fingerprint: Fingerprint,
     pub customer: Option<String>,
     /// Priority for model engines, 0 to 9, where 0 is the most urgent.
     pub priority: Option<u8>,
@@ -160,6 +163,7 @@
             ));
         }
         Ok(Err(SendError::Lost(reason))) => {
+            edge.record_lost_request(pick, outgoing);
             return Err(edge.record_endpoint_failure(
                 pick,
                 outgoing,
@@ -210,7 +214,7 @@
 
 /// Suspends an endpoint in the balancer until it accepts a connection again. Does nothing if it
 /// is suspended already.
-fn probe_until_reachable(edge: &Rc<Edge>, pick: &Pick) {
+pub(crate) fn probe_until_reachable(edge: &Rc<Edge>, pick: &Pick) {
     if !edge.balancer.borrow_mut().suspend(pick.key) {
         return;
     }
@@ -225,13 +229,7 @@
                 HttpConnection::connect(pick.address, CONNECT_TIMEOUT_MS).await;
             if let Ok(http_connection) = connected {
                 log::info!("event=endpoint_reachable endpoint={}", pick.id);
-                edge.pool.borrow_mut().put(
-                    now_ms(),
-                    pick.key,
-                    http_connection,
-                    FRESH_IDLE_MS,
-                    1,
-                );
+                keep_connection(&edge, &pick, http_connection);
                 edge.balancer.borrow_mut().resume(pick.key);
                 return;
             }
@@ -239,6 +237,12 @@
     });
 }
 
+/// Puts a new connection into the pool if there is no other to the endpoint.
+pub(crate) fn keep_connection(edge: &Edge, pick: &Pick, http_connection: HttpConnection) {
+    let mut pool = edge.pool.borrow_mut();
+    pool.put(now_ms(), pick.key, http_connection, FRESH_IDLE_MS, 1);
+}
+
 /// Builds the request for one endpoint.
 fn build_request(
     edge: &Edge,
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 mod call;
 mod collect;
+mod crashes;
 mod exchange;
 mod limits;
 pub(crate) mod listen;
@@ -31,6 +32,7 @@
 use crate::directory::MetadataStore;
 use crate::edge::call::AdmittedCall;
 use crate::edge::collect::BodyMemory;
+use crate::edge::crashes::LostRequests;
 use crate::edge::exchange::OutgoingRequest;
 use crate::edge::pool::Pool;
 use crate::edge::refusal::Refusal;
@@ -80,6 +82,8 @@
     /// By customer: until when requests are refused without a request to the members, which have
     /// all just responded that the customer has no tokens left.
     refused_until_ms: RefCell<HashMap<String, u64>>,
+    /// Requests whose connections were lost, until it is known why.
+    lost_requests: RefCell<LostRequests>,
     pub turns: RefCell<TurnCache>,
     /// Memory of the response bodies that are being read.
     pub body_memory: Rc<BodyMemory>,
@@ -127,6 +131,7 @@
             store_backoff: RefCell::default(),
             quota: RefCell::default(),
             refused_until_ms: RefCell::default(),
+            lost_requests: RefCell::default(),
             turns: RefCell::new(TurnCache::new(MAX_CACHE_BYTES)),
             affinity: RefCell::default(),
             has_endpoints: Cell::new(false),
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -12,6 +12,7 @@
 use jayreel_ledger::{Reservation, Settlement, TurnRecord};
 use tokio::sync::mpsc;
 
+use crate::balance::Pick;
 use crate::clock::now_ms;
 use crate::edge::Edge;
 use crate::edge::body::{BodyChunk, CallBody};
@@ -27,6 +28,12 @@
 /// buffer is full.
 const MAX_QUEUED_EVENTS: usize = 16;
 
+/// Reason of an interruption by the loss of the connection.
+const CONNECTION_LOST: &str = "connection lost";
+
+/// Reason of an interruption by the end of a stream in the middle of an event.
+const ENDED_WITHIN_EVENT: &str = "ended within an event";
+
 /// Reason of an interruption by an event without end.
 const EVENT_TOO_LARGE: &str = "event too large";
 
@@ -77,6 +84,8 @@
     attempt: Attempt,
     /// Identifiers of the endpoints to which it was sent, the current one last.
     tried: Vec<String>,
+    /// The endpoint to which it was last sent.
+    current: Option<Pick>,
     /// Identifier of the last event queued for the caller. Another endpoint continues after it.
     last_event_id: Option<u64>,
     /// Data of the events so far, if the turn is to be stored.
@@ -114,6 +123,7 @@
             unfinished_turn,
             attempt: Attempt::default(),
             tried: Vec::new(),
+            current: None,
             output: BytesMut::new(),
         }
     }
@@ -129,6 +139,7 @@
                 pick_endpoint(&self.edge, &self.admitted, &self.attempt, &self.tried)
                     .await?;
             self.tried.push(pick.id.clone());
+            self.current = Some(pick.clone());
             let sent_ms = now_ms();
             let timeouts = self.admitted.send_timeouts(&self.attempt);
             let outgoing = &self.admitted.outgoing;
@@ -165,6 +176,11 @@
             balancer.set_aside(now_ms(), key);
         }
         drop(balancer);
+        if let (Some(pick), CONNECTION_LOST | ENDED_WITHIN_EVENT) =
+            (&self.current, reason)
+        {
+            self.edge.record_lost_request(pick, &self.admitted.outgoing);
+        }
         let step = self.attempt.next(self.admitted.policy(), Outcome::Unknown);
         log::info!(
             "event=stream_broken request={} program={} endpoint={} reason={reason:?} \
@@ -213,9 +229,9 @@
             let frame = match tokio::time::timeout(time_left, stream.body.frame()).await {
                 Err(_) => return StreamProgress::Interrupted("timed out"),
                 Ok(None) if stream.reader.is_at_boundary() => return StreamProgress::End,
-                Ok(None) => return StreamProgress::Interrupted("ended within an event"),
+                Ok(None) => return StreamProgress::Interrupted(ENDED_WITHIN_EVENT),
                 Ok(Some(Err(_))) => {
-                    return StreamProgress::Interrupted("connection lost");
+                    return StreamProgress::Interrupted(CONNECTION_LOST);
                 }
                 Ok(Some(Ok(frame))) => frame,
             };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::retry::Outcome;
@@ -24,6 +24,7 @@
     refusals: IntCounterVec,
     failures: IntCounterVec,
     limited_sends: IntCounterVec,
+    crashes: IntCounter,
     broken: IntGauge,
     open_connections: Rc<Cell<usize>>,
     open_calls: Rc<Cell<usize>>,
@@ -81,15 +82,21 @@
             "Requests for tokens of endpoints that limit the rate of requests, by outcome",
             &["outcome"],
         );
+        let crashes = IntCounter::new(
+            "jayreel_endpoint_crashes_total",
+            "Crashes of endpoints at which requests of this instance were lost",
+        )
+        .expect("the names of metrics are valid");
         let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
             .expect("the names of metrics are valid");
         let registry = Registry::new();
-        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(first_byte_s.clone()),
             Box::new(complete_s.clone()),
             Box::new(refusals.clone()),
             Box::new(failures.clone()),
             Box::new(limited_sends.clone()),
+            Box::new(crashes.clone()),
             Box::new(broken.clone()),
         ];
         for collector in collectors {
@@ -104,6 +111,7 @@
             refusals,
             failures,
             limited_sends,
+            crashes,
             broken,
             open_connections: Rc::default(),
             open_calls: Rc::default(),
@@ -138,6 +146,11 @@
         self.limited_sends.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a crash of an endpoint at which requests of this instance were lost.
+    pub(crate) fn endpoint_crashed(&self) {
+        self.crashes.inc();
+    }
+
     /// Counts a stream that ended before it was complete.
     pub(crate) fn stream_interrupted(&self) {
         self.broken.inc();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admission;
 mod endpoint_limits;
+mod fingerprint;
 mod group;
 mod legacy_log;
 mod log;
@@ -24,6 +25,7 @@
 pub use endpoint_limits::{
     EndpointLimit, EndpointLimits, LimitReport, SendGrant, limit_lifetime_ms,
 };
+pub use fingerprint::Fingerprint;
 pub use group::{CatchUp, Group, Member, MembershipState};
 pub use legacy_log::read_legacy_record;
 pub use log::{
