gateway: give up requests that crash endpoint after endpoint

Callers saw three quarters of their requests refused or failed: one request, sent again and again under new identifiers, took down all engines together, again and again.

Cause: no instance counted crashes by request. Retries here, retries of the caller and later turns each took the request to the next endpoint.

Change: an entry instance that loses a connection finds out whether the endpoint has crashed and reports the requests that were lost to all members, which count crashes by fingerprint. A request that ends well is cleared. One that was lost in three crashes is not sent any more: it is refused with 502, because it has run. Entry instances read the suspects with the list of endpoints, also from a member that has not heard from the store, and give back to a restarted member what it forgot. A request that was lost before waits for the check before it is sent again.

So families of requests (the same but for the body after its first 128 bytes) are counted as well. Many innocent requests may be of one family, so instances where one has just ended well object, and a second crash counts for it only after the time for that.

Ruled out: a counter by customer or endpoint (punishes bystanders), one by request identifier (new each time), the log on disk (a crash must not cost a sync).

Found by the tests on the way: what is given back to a member that just starts may be lost, and is now repeated; a member that has not heard from the store told nothing of suspects.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use jayreel_ledger::EndpointLimit;
+use jayreel_ledger::{EndpointLimit, EndpointRun};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::directory::EndpointEntry;
@@ -183,6 +183,13 @@
         self.endpoints.contains_key(key)
     }
 
+    /// The run of an endpoint that a pick is for.
+    pub fn run(&self, pick: &Pick) -> EndpointRun {
+        let endpoint = self.endpoints.get(pick.key);
+        let started_unix_ms = endpoint.and_then(|one| one.entry.started_unix_ms);
+        EndpointRun::new(&pick.id, started_unix_ms)
+    }
+
     /// Whether any endpoint of a service accepts new requests.
     pub fn serves(&self, service: &str) -> bool {
         let mut endpoints = self.endpoints.values();
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -10,7 +10,8 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use jayreel_ledger::{
-    Decision, Fingerprint, ProgramKey, Reservation, TurnDigest, TurnRecord,
+    Decision, ProgramKey, RequestFingerprints, RequestIdentity, Reservation, TurnDigest,
+    TurnRecord,
 };
 
 use crate::balance::Pick;
@@ -189,14 +190,14 @@
     check_group(edge, &route, &call, customer.is_some())?;
     let body = read_body(&configuration, body, timeout_ms).await?;
     let target = origin_form(parts);
-    let customer_name = customer.as_ref().map_or("", |(name, _)| name.as_str());
-    let fingerprint = Fingerprint::of(&[
-        parts.method.as_str().as_bytes(),
-        call.host.as_bytes(),
-        target.to_string().as_bytes(),
-        customer_name.as_bytes(),
-        &body,
-    ]);
+    let fingerprints = RequestFingerprints::of(&RequestIdentity {
+        method: parts.method.as_str(),
+        host: &call.host,
+        target: &target.to_string(),
+        customer: customer.as_ref().map_or("", |(name, _)| name.as_str()),
+        body: &body,
+    });
+    edge.check_crashes(&fingerprints)?;
     let token = match &customer {
         Some((name, customer)) => {
             let request = quota_request(edge, &route, &call, name, customer);
@@ -219,7 +220,7 @@
             headers: parts.headers.clone(),
             body,
             request_id: call.request_id.clone(),
-            fingerprint,
+            fingerprints,
             customer: customer.map(|(name, _)| name),
             priority: engine.map(|_| engine_priority(rank, program_time_left_ms(&call))),
             max_idle: max_connections / IDLE_CONNECTION_DIVISOR + MIN_IDLE_CONNECTIONS,
@@ -271,6 +272,7 @@
                     );
                     if !is_failure || !may_try_another(admitted, attempt) {
                         edge.record_response(admitted, &pick, complete.status());
+                        edge.clear_suspicion(&admitted.outgoing.fingerprints);
                         return Ok(complete);
                     }
                     Outcome::Failed
@@ -295,7 +297,10 @@
             Err(outcome) => outcome,
         };
         match attempt.next(admitted.policy(), outcome) {
-            Step::SendAgain => {}
+            Step::SendAgain => {
+                let fingerprints = &admitted.outgoing.fingerprints;
+                edge.wait_for_crash_check(pick.key, fingerprints).await;
+            }
             step => return Err(final_refusal(admitted, step)),
         }
     }
@@ -338,6 +343,7 @@
             false => Refusal::retry_later("timed_out", NO_CAPACITY_RETRY_AFTER_MS),
         });
     }
+    edge.check_crashes(&admitted.outgoing.fingerprints)?;
     let program = admitted.program().unwrap_or_default();
     let affinity = edge.affinity.borrow().get(program).cloned();
     let service = &admitted.service;
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use jayreel_ledger::Fingerprint;
+use jayreel_ledger::RequestFingerprints;
 
 use crate::balance::{EndpointKey, Pick};
 use crate::clock::{now_ms, pause};
@@ -46,7 +46,7 @@
     /// Endpoints repeat it in their responses.
     pub request_id: String,
     /// The same if the caller sends the request again.
-    pub fingerprint: Fingerprint,
+    pub fingerprints: RequestFingerprints,
     pub customer: Option<String>,
     /// Priority for model engines, 0 to 9, where 0 is the most urgent.
     pub priority: Option<u8>,
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -12,9 +12,10 @@
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use jayreel_ledger::{
-    BudgetCheck, Decision, EndpointCursor, EndpointLimit, Group, Member, MemberRequest,
-    MemberResponse, Phase, QuotaRequest, Reservation, SendGrant, Settlement,
-    SharedConfiguration, SharedEndpoints, TurnRecord, ZonePresence,
+    BudgetCheck, CrashReport, Decision, EndpointCursor, EndpointLimit, Fingerprint,
+    Group, Member, MemberRequest, MemberResponse, Phase, QuotaRequest, Reservation,
+    SendGrant, Settlement, SharedConfiguration, SharedEndpoints, Suspect,
+    SuspectsVersion, TurnRecord, ZonePresence,
 };
 use jayreel_membership::rank;
 
@@ -538,9 +539,43 @@
 
     /// Tells all members what an endpoint said about its limit, without waiting for responses.
     pub fn report_limit(self: &Rc<Self>, limit: EndpointLimit) {
+        self.notify_all(&MemberRequest::ReportLimits(vec![limit]));
+    }
+
+    /// Reports a crash to all members. Returns the largest number of crashes that a member has
+    /// counted for each request of the report, then for each family.
+    pub async fn report_crash(self: &Rc<Self>, report: &CrashReport) -> Vec<u32> {
+        let group = self.group();
+        let request = MemberRequest::ReportCrash(report.clone());
+        let responses = group.members.iter().map(|member| {
+            self.spawn_request(group.version, member, request.clone(), MEMORY_TIMEOUT_MS)
+        });
+        let mut most = vec![0; report.requests.len() + report.families.len()];
+        for response in futures::future::join_all(responses).await {
+            if let Ok(Ok(MemberResponse::Crashes(crashes))) = response {
+                for (most, crashes) in most.iter_mut().zip(crashes) {
+                    *most = crashes.max(*most);
+                }
+            }
+        }
+        most
+    }
+
+    /// Tells all members that suspects have ended well.
+    pub fn clear_suspects(self: &Rc<Self>, suspects: Vec<Fingerprint>) {
+        self.notify_all(&MemberRequest::ClearSuspects(suspects));
+    }
+
+    /// Gives requests that were given up back to members that have forgotten them.
+    pub fn restore_suspects(self: &Rc<Self>, suspects: Vec<Suspect>) {
+        self.notify_all(&MemberRequest::RestoreSuspects(suspects));
+    }
+
+    /// Sends a request to all members, without waiting for responses.
+    fn notify_all(self: &Rc<Self>, request: &MemberRequest) {
         let group = self.group();
         for member in &group.members {
-            let request = MemberRequest::ReportLimits(vec![limit.clone()]);
+            let request = request.clone();
             drop(self.spawn_request(group.version, member, request, MEMORY_TIMEOUT_MS));
         }
     }
@@ -601,8 +636,15 @@
         }
     }
 
-    /// Reads the changes of endpoints since `known` from one of the nearest members.
-    pub async fn endpoints(&self, known: EndpointCursor) -> Option<SharedEndpoints> {
+    /// Reads the changes of endpoints since `known`, and the suspects if they are not
+    /// `known_suspects`, from the nearest members, until one has heard of the changes. Contains
+    /// the responses received.
+    pub async fn endpoints(
+        &self,
+        known: EndpointCursor,
+        known_suspects: SuspectsVersion,
+    ) -> Vec<SharedEndpoints> {
+        let mut found = Vec::new();
         let nearest = self
             .nearest_first("endpoints")
             .into_iter()
@@ -612,13 +654,20 @@
             let response = self.send_request(
                 version,
                 &member,
-                MemberRequest::Endpoints { known },
+                MemberRequest::Endpoints {
+                    known,
+                    known_suspects,
+                },
                 MEMORY_TIMEOUT_MS,
             );
             if let Ok(MemberResponse::Endpoints(endpoints)) = response.await {
-                return Some(endpoints);
+                let has_changes = endpoints.changes.is_some();
+                found.push(*endpoints);
+                if has_changes {
+                    break;
+                }
             }
         }
-        None
+        found
     }
 }
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -45,6 +45,7 @@
 use crate::quota_buffer::QuotaBuffer;
 use crate::retry::Outcome;
 use crate::settings::NodeSettings;
+use crate::suspect_table::SuspectTable;
 use crate::turn_cache::TurnCache;
 
 pub use listen::run;
@@ -84,6 +85,8 @@
     refused_until_ms: RefCell<HashMap<String, u64>>,
     /// Requests whose connections were lost, until it is known why.
     lost_requests: RefCell<LostRequests>,
+    /// Requests that may crash endpoints.
+    suspects: RefCell<SuspectTable>,
     pub turns: RefCell<TurnCache>,
     /// Memory of the response bodies that are being read.
     pub body_memory: Rc<BodyMemory>,
@@ -132,6 +135,7 @@
             quota: RefCell::default(),
             refused_until_ms: RefCell::default(),
             lost_requests: RefCell::default(),
+            suspects: RefCell::default(),
             turns: RefCell::new(TurnCache::new(MAX_CACHE_BYTES)),
             affinity: RefCell::default(),
             has_endpoints: Cell::new(false),
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -160,12 +160,21 @@
                 Err(outcome) => outcome,
             };
             match self.attempt.next(self.admitted.policy(), outcome) {
-                Step::SendAgain => {}
+                Step::SendAgain => self.wait_for_crash_check().await,
                 step => return Err(final_refusal(&self.admitted, step)),
             }
         }
     }
 
+    /// Waits until it is known whether the endpoint to which the request was last sent has
+    /// crashed, if the request may be the cause.
+    async fn wait_for_crash_check(&self) {
+        if let Some(pick) = &self.current {
+            let fingerprints = &self.admitted.outgoing.fingerprints;
+            self.edge.wait_for_crash_check(pick.key, fingerprints).await;
+        }
+    }
+
     /// Logs an interruption and counts it against the endpoint. Returns whether the retry policy
     /// allows another endpoint to continue.
     fn may_resume_after(&mut self, stream: &EndpointStream, reason: &str) -> bool {
@@ -287,6 +296,7 @@
                 if !call.may_resume_after(&stream, reason) {
                     return Err(final_refusal(&call.admitted, Step::FailUnknown));
                 }
+                call.wait_for_crash_check().await;
             }
             first => {
                 let mut headers = call.edge.protocol.caller_headers(&upstream.headers);
@@ -316,6 +326,8 @@
         return Err(final_refusal(&call.admitted, Step::FailUnknown));
     };
     stream.connection.release();
+    call.edge
+        .clear_suspicion(&call.admitted.outgoing.fingerprints);
     let mut response = Response::new(CallBody::Buffered(Some(content)));
     *response.status_mut() = status;
     *response.headers_mut() = call.edge.protocol.caller_headers(&headers);
@@ -343,6 +355,8 @@
             }
             StreamProgress::End => {
                 stream.connection.release();
+                let fingerprints = &call.admitted.outgoing.fingerprints;
+                call.edge.clear_suspicion(fingerprints);
                 finish(call, &sender).await;
                 return;
             }
@@ -426,8 +440,12 @@
     if !call.may_resume_after(interrupted, reason) || !call.is_resumable() {
         return None;
     }
+    let restart = async {
+        call.wait_for_crash_check().await;
+        call.start().await
+    };
     let started = tokio::select! {
-        started = call.start() => started,
+        started = restart => started,
         () = sender.closed() => return None,
     };
     match started {
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -6,7 +6,7 @@
 
 use std::rc::Rc;
 
-use jayreel_ledger::{Group, SharedConfiguration, SharedEndpoints, ZonePresence};
+use jayreel_ledger::{Group, SharedChanges, SharedConfiguration, ZonePresence};
 
 use crate::clock::{now_ms, pause};
 use crate::directory::{ConfigurationRead, EndpointChange, MetadataError};
@@ -200,12 +200,19 @@
     wait_for_group(&edge).await;
     loop {
         let requested_ms = now_ms();
-        let shared = edge.members.endpoints(view.update_cursor()).await;
-        if let Some(shared) = &shared {
+        let known_suspects = edge.suspects.borrow().version();
+        let found = edge
+            .members
+            .endpoints(view.update_cursor(), known_suspects)
+            .await;
+        let mut update = None;
+        for shared in found {
             let mut balancer = edge.balancer.borrow_mut();
             balancer.learn_limits(requested_ms, &shared.limits);
+            drop(balancer);
+            edge.apply_suspects(requested_ms, shared.suspects);
+            update = shared.changes.and_then(decode_endpoint_update);
         }
-        let update = shared.and_then(decode_endpoint_update);
         let changes = update.and_then(|update| view.apply_update(now_ms(), update));
         if let Some(changes) = changes {
             edge.apply_endpoints(changes);
@@ -237,7 +244,7 @@
 }
 
 /// Decodes the changes of endpoints that a member sent. `None` if they are unreadable.
-fn decode_endpoint_update(shared: SharedEndpoints) -> Option<EndpointUpdate> {
+fn decode_endpoint_update(shared: SharedChanges) -> Option<EndpointUpdate> {
     match postcard::from_bytes(&shared.content) {
         Ok(changes) => Some(EndpointUpdate {
             cursor: shared.cursor,
@@ -343,6 +350,7 @@
     loop {
         pause(SWEEP_INTERVAL_MS).await;
         edge.log_omitted_responses();
+        edge.suspects.borrow_mut().expire(now_ms());
         let balancer = edge.balancer.borrow();
         let mut pool = edge.pool.borrow_mut();
         pool.sweep(now_ms(), |key| balancer.contains(key));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod retry;
 mod settings;
 pub mod storage;
+mod suspect_table;
 mod turn_cache;
 mod urgency;
 
@@ -63,4 +64,5 @@
 pub use quota_buffer::{BufferedToken, QuotaBuffer};
 pub use retry::{Attempt, Outcome, RetryPolicy, Step};
 pub use settings::{Bounds, NodeSettings, ProcessLimits};
+pub use suspect_table::SuspectTable;
 pub use urgency::engine_priority;
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use jayreel_ledger::{
-    CopyPart, EndpointLimits, FrameLocation, Group, LedgerRecord, LedgerState, Member,
-    MembershipState, RateLimit, RateShare, RateTolerance, Reply, Request, TurnDigest,
-    TurnRecord, encode_frame, turn_digest,
+    CopyPart, CrashSuspects, EndpointLimits, FrameLocation, Group, LedgerRecord,
+    LedgerState, Member, MembershipState, RateLimit, RateShare, RateTolerance, Reply,
+    Request, TurnDigest, TurnRecord, encode_frame, turn_digest,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -191,6 +191,8 @@
     pub(super) endpoints: EndpointView,
     /// This instance's share of the rates that endpoints accept.
     pub(super) endpoint_limits: EndpointLimits,
+    /// Requests that may crash endpoints.
+    pub(super) crash_suspects: CrashSuspects,
     /// Entry instances of this instance's availability zone.
     pub(super) presence: PresenceTracker,
     /// The configuration in the encoding of the store. Empty without one.
@@ -246,6 +248,7 @@
             freshness: Freshness::default(),
             endpoints: EndpointView::new(start),
             endpoint_limits: EndpointLimits::default(),
+            crash_suspects: CrashSuspects::new(start),
             presence: PresenceTracker::default(),
             configuration: Bytes::new(),
             configuration_revision: 0,
@@ -272,6 +275,11 @@
         &self.endpoint_limits
     }
 
+    /// The requests that may crash endpoints.
+    pub fn crash_suspects(&self) -> &CrashSuspects {
+        &self.crash_suspects
+    }
+
     /// Whether the instance is a member of the newest group known.
     pub fn is_member(&self) -> bool {
         self.group.contains(&self.name)
@@ -328,6 +336,7 @@
             Event::Tick => {
                 self.state.expire(now_ms);
                 self.endpoint_limits.expire(now_ms);
+                self.crash_suspects.expire(now_ms);
                 self.clean(now_ms)
             }
         }
--- a/crates/gateway/src/storage/replies.rs
+++ b/crates/gateway/src/storage/replies.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use jayreel_ledger::{MemberResponse, Reply};
+use jayreel_ledger::{MemberResponse, Reply, SharedEndpoints};
 use serde::Serialize;
 
 /// Approximate size of a reply without turns, in bytes.
@@ -97,6 +97,14 @@
     }
 }
 
+fn endpoints_bytes(shared: &SharedEndpoints) -> usize {
+    let changes = shared.changes.as_ref();
+    let suspects = shared.suspects.suspects.as_deref();
+    changes.map_or(0, |changes| changes.content.len())
+        + shared.limits.len() * SMALL_REPLY_BYTES
+        + suspects.map_or(0, size_of_val)
+}
+
 fn size_bytes(response: &MemberResponse) -> usize {
     let content_bytes = match response {
         MemberResponse::Chain(turns) | MemberResponse::Turns { turns, .. } => {
@@ -111,7 +119,7 @@
         MemberResponse::Configuration(shared) => {
             shared.content.as_ref().map_or(0, |content| content.len())
         }
-        MemberResponse::Endpoints(shared) => shared.content.len(),
+        MemberResponse::Endpoints(shared) => endpoints_bytes(shared),
         _ => 0,
     };
     SMALL_REPLY_BYTES + content_bytes
--- a/crates/gateway/src/storage/requests.rs
+++ b/crates/gateway/src/storage/requests.rs
@@ -1,11 +1,13 @@
 //! Handling of requests from other instances.
 
 use jayreel_ledger::{
-    EndpointCursor, EndpointLimit, LedgerRecord, MemberRequest, MemberResponse,
-    MembershipState, ProgramKey, QuotaPurpose, QuotaRequest, Reply, Request, Reservation,
-    SharedConfiguration, SharedEndpoints,
+    CrashReport, EndpointCursor, EndpointLimit, LedgerRecord, MemberRequest,
+    MemberResponse, MembershipState, ProgramKey, QuotaPurpose, QuotaRequest, Reply,
+    Request, Reservation, SharedChanges, SharedConfiguration, SharedEndpoints,
+    SuspectsVersion,
 };
 
+use crate::endpoint_view::EndpointUpdate;
 use crate::log_fields::OrNone;
 
 use super::node::{ConnectionKey, Effect, Node};
@@ -76,6 +78,19 @@
                 }
                 vec![reply_now(MemberResponse::Done)]
             }
+            MemberRequest::ReportCrash(report) => {
+                vec![reply_now(self.report_crash(now_ms, &report))]
+            }
+            MemberRequest::ClearSuspects(requests) => {
+                for fingerprint in requests {
+                    self.crash_suspects.clear(fingerprint);
+                }
+                vec![reply_now(MemberResponse::Done)]
+            }
+            MemberRequest::RestoreSuspects(suspects) => {
+                self.crash_suspects.restore(now_ms, &suspects);
+                vec![reply_now(MemberResponse::Done)]
+            }
             MemberRequest::TakeSend(candidates) if self.is_voting() => {
                 let shares = self.shares(now_ms);
                 let grant = self.endpoint_limits.take(now_ms, &candidates, shares);
@@ -187,7 +202,10 @@
             MemberRequest::Presence { instance } => {
                 MemberResponse::Presence(self.presence.record_message(now_ms, &instance))
             }
-            MemberRequest::Endpoints { known } => self.share_endpoints(now_ms, known),
+            MemberRequest::Endpoints {
+                known,
+                known_suspects,
+            } => self.share_endpoints(now_ms, known, known_suspects),
             _ => MemberResponse::NotVoting,
         }
     }
@@ -211,6 +229,16 @@
         }
     }
 
+    /// Counts a crash for the requests that were lost in it.
+    fn report_crash(&mut self, now_ms: u64, report: &CrashReport) -> MemberResponse {
+        for fingerprint in self.crash_suspects.report(now_ms, report) {
+            log::warn!("event=request_given_up fingerprint={fingerprint}");
+        }
+        let reported = report.requests.iter().chain(&report.families);
+        let crashes = reported.map(|suspect| self.crash_suspects.crashes(*suspect));
+        MemberResponse::Crashes(crashes.collect())
+    }
+
     /// Number of members among which the rates of customers and endpoints are divided.
     fn shares(&self, now_ms: u64) -> usize {
         match self.previous_shares {
@@ -293,23 +321,18 @@
 
     /// Endpoint changes after a cursor. `Unavailable` if the store has not been read recently,
     /// or could not be read shortly before.
-    fn share_endpoints(&mut self, now_ms: u64, known: EndpointCursor) -> MemberResponse {
-        let Some(update) = self.endpoints.update_since(now_ms, known) else {
-            return MemberResponse::Unavailable;
-        };
-        match postcard::to_stdvec(&update.changes) {
-            Ok(content) => MemberResponse::Endpoints(SharedEndpoints {
-                cursor: update.cursor,
-                revision: update.revision,
-                is_complete: update.is_complete,
-                content: content.into(),
-                limits: self.endpoint_limits.current(now_ms),
-            }),
-            Err(error) => {
-                log::error!("event=endpoints_unwritable reason={error:?}");
-                MemberResponse::Unavailable
-            }
-        }
+    fn share_endpoints(
+        &mut self,
+        now_ms: u64,
+        known: EndpointCursor,
+        known_suspects: SuspectsVersion,
+    ) -> MemberResponse {
+        let update = self.endpoints.update_since(now_ms, known);
+        MemberResponse::Endpoints(Box::new(SharedEndpoints {
+            changes: update.and_then(encode_endpoint_update),
+            limits: self.endpoint_limits.current(now_ms),
+            suspects: self.crash_suspects.share(now_ms, known_suspects),
+        }))
     }
 
     /// The configuration, if it is newer than `known_revision`, and its age. `Unavailable` if no
@@ -359,3 +382,19 @@
     });
     bytes.sum()
 }
+
+/// Encodes endpoint changes for an entry instance.
+fn encode_endpoint_update(update: EndpointUpdate) -> Option<SharedChanges> {
+    match postcard::to_stdvec(&update.changes) {
+        Ok(content) => Some(SharedChanges {
+            cursor: update.cursor,
+            revision: update.revision,
+            is_complete: update.is_complete,
+            content: content.into(),
+        }),
+        Err(error) => {
+            log::error!("event=endpoints_unwritable reason={error:?}");
+            None
+        }
+    }
+}
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -282,10 +282,13 @@
             ("read_bytes", usage.read_bytes),
             ("reply_bytes", self.reply_budget.used_bytes() as u64),
             ("endpoint_limits", node.endpoint_limits().len() as u64),
+            ("crash_suspects", node.crash_suspects().len() as u64),
+            ("given_up_requests", node.crash_suspects().given_up() as u64),
         ];
         let counters = [
             ("copied_records", self.copied_records.get()),
             ("evicted_endpoint_limits", node.endpoint_limits().evicted()),
+            ("evicted_crash_suspects", node.crash_suspects().evicted()),
             ("rejected_disk_full", usage.rejected_disk_full),
             ("rejected_queue_full", usage.rejected_queue_full),
             ("rejected_reads_full", usage.rejected_reads_full),
--- /dev/null
+++ b/crates/gateway/tests/suspect_table.rs
@@ -0,0 +1,92 @@
+//! What an entry instance knows about requests that may crash endpoints.
+
+use jayreel_gateway::SuspectTable;
+use jayreel_ledger::{
+    EndpointRun, RequestFingerprints, RequestIdentity, SharedSuspects, Suspect,
+    SuspectsVersion,
+};
+
+fn request(body: &[u8]) -> RequestFingerprints {
+    RequestFingerprints::of(&RequestIdentity {
+        method: "POST",
+        host: "host.example",
+        target: "/chat/1",
+        customer: "customer",
+        body,
+    })
+}
+
+fn shared(sequence: u64, suspects: &[Suspect]) -> SharedSuspects {
+    SharedSuspects {
+        version: SuspectsVersion { start: 1, sequence },
+        suspects: Some(suspects.to_vec()),
+        is_complete: true,
+    }
+}
+
+fn given_up(request: &RequestFingerprints) -> Suspect {
+    Suspect {
+        fingerprint: request.exact,
+        crashes: 3,
+        age_ms: 100,
+    }
+}
+
+/// A member that was restarted lists nothing. The instance still refuses the request, gives it
+/// back, and reads the whole list until the member has it.
+#[test]
+fn request_stays_given_up_when_a_member_forgets_it() {
+    let mut table = SuspectTable::default();
+    let deadly = request(b"deadly");
+    table.apply(1_000, shared(5, &[given_up(&deadly)]));
+    assert!(table.is_given_up(&deadly));
+    let mut expected = given_up(&deadly);
+    expected.age_ms = 300;
+    assert_eq!(table.apply(1_200, shared(0, &[])), [expected]);
+    assert!(table.is_given_up(&deadly));
+    assert_eq!(table.version(), SuspectsVersion::default());
+    assert_eq!(table.apply(1_400, shared(1, &[expected])), []);
+    assert_eq!(table.version().sequence, 1);
+}
+
+/// Many requests of one customer begin alike, and one of them crashes endpoints. As long as others
+/// end well, their family is not suspected, here or at the members.
+#[test]
+fn family_with_a_good_end_is_not_suspected() {
+    let mut table = SuspectTable::default();
+    let run = EndpointRun::new("engine", None);
+    let lost = [request(b"deadly")];
+    let report = table.crash_report(1_000, run, &lost);
+    assert_eq!(report.families, [lost[0].family]);
+    table.record_good_end(2_000, &lost[0]);
+    let report = table.crash_report(2_001, run, &lost);
+    assert!(report.families.is_empty());
+    assert_eq!(report.requests, [lost[0].exact]);
+    let suspected_elsewhere = Suspect {
+        fingerprint: lost[0].family,
+        crashes: 1,
+        age_ms: 0,
+    };
+    table.apply(3_000, shared(1, &[suspected_elsewhere]));
+    assert_eq!(table.clear_good_families(3_000), [lost[0].family]);
+    assert!(!table.is_suspect(&lost[0]));
+    let report = table.crash_report(62_001, run, &lost);
+    assert_eq!(report.families.len(), 1, "the good end was long ago");
+}
+
+/// A suspect that ends well is cleared; a request that was given up stays so.
+#[test]
+fn good_end_clears_suspects_only() {
+    let mut table = SuspectTable::default();
+    let (innocent, deadly) = (request(b"innocent"), request(b"deadly"));
+    table.learn(1_000, innocent.exact, 2);
+    table.learn(1_000, deadly.exact, 3);
+    assert_eq!(table.record_good_end(1_100, &innocent), [innocent.exact]);
+    assert!(!table.is_suspect(&innocent));
+    assert_eq!(table.record_good_end(1_100, &deadly), []);
+    assert!(table.is_given_up(&deadly));
+    table.expire(600_999);
+    assert!(table.is_given_up(&deadly));
+    table.expire(601_000);
+    assert!(!table.is_given_up(&deadly));
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 //! This crate does no I/O and reads no clock.
 
 mod admission;
+mod crash_suspects;
 mod endpoint_limits;
 mod fingerprint;
 mod group;
@@ -22,10 +23,14 @@
 mod state;
 
 pub use admission::{BudgetCheck, Decision, Phase};
+pub use crash_suspects::{
+    CrashReport, CrashSuspects, EndpointRun, MAX_CRASHES, SharedSuspects, Suspect,
+    SuspectsVersion, suspicion_lifetime_ms,
+};
 pub use endpoint_limits::{
     EndpointLimit, EndpointLimits, LimitReport, SendGrant, limit_lifetime_ms,
 };
-pub use fingerprint::Fingerprint;
+pub use fingerprint::{Fingerprint, RequestFingerprints, RequestIdentity};
 pub use group::{CatchUp, Group, Member, MembershipState};
 pub use legacy_log::read_legacy_record;
 pub use log::{
@@ -34,7 +39,7 @@
 };
 pub use message::{
     EndpointCursor, MemberRequest, MemberResponse, QuotaRequest, Reply, Request,
-    SharedConfiguration, SharedEndpoints, TurnBudget, ZonePresence,
+    SharedChanges, SharedConfiguration, SharedEndpoints, TurnBudget, ZonePresence,
 };
 pub use rate::{QuotaPurpose, RateLimit, RateShare, RateTolerance};
 pub use record::{
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crash_suspects::{CrashReport, SharedSuspects, Suspect, SuspectsVersion};
 use crate::endpoint_limits::{EndpointLimit, SendGrant};
+use crate::fingerprint::Fingerprint;
 use crate::group::Group;
 use crate::rate::{QuotaPurpose, RateLimit};
 use crate::record::{
@@ -114,6 +116,8 @@
     Endpoints {
         /// Cursor from the sender's last response.
         known: EndpointCursor,
+        /// State of the suspects in the sender's last response.
+        known_suspects: SuspectsVersion,
     },
     /// Read turns, for a copy.
     CopyTurns(Vec<TurnDigest>),
@@ -121,6 +125,12 @@
     ReportLimits(Vec<EndpointLimit>),
     /// Take a token to send a request to one of these endpoints, the best one first.
     TakeSend(Vec<EndpointLimit>),
+    /// An endpoint has crashed.
+    ReportCrash(CrashReport),
+    /// These requests may have crashed an endpoint, but have ended well at another.
+    ClearSuspects(Vec<Fingerprint>),
+    /// Requests that were given up, for a member that has forgotten them.
+    RestoreSuspects(Vec<Suspect>),
 }
 
 /// A position in the sequence of endpoint changes that one storage instance serves.
@@ -143,9 +153,21 @@
     pub present: u32,
 }
 
-/// Endpoint changes after a cursor.
+/// What a member knows about endpoints.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SharedEndpoints {
+    /// What has changed in the registry. `None` if the member has not heard from the store
+    /// recently.
+    pub changes: Option<SharedChanges>,
+    /// All endpoints that limit the rate of requests.
+    pub limits: Vec<EndpointLimit>,
+    /// Requests that may crash endpoints.
+    pub suspects: SharedSuspects,
+}
+
+/// Endpoint changes after a cursor.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SharedChanges {
     /// Position after these changes.
     pub cursor: EndpointCursor,
     /// Store revision that the endpoints reflect.
@@ -154,8 +176,6 @@
     pub is_complete: bool,
     /// The changes, encoded with postcard by the gateway.
     pub content: bytes::Bytes,
-    /// All endpoints that limit the rate of requests, as the member knows them now.
-    pub limits: Vec<EndpointLimit>,
 }
 
 /// A configuration, with the age of the evidence that it was the newest.
@@ -206,8 +226,8 @@
     Configuration(SharedConfiguration),
     /// Entry instances in the member's availability zone.
     Presence(ZonePresence),
-    /// Changes of endpoints.
-    Endpoints(SharedEndpoints),
+    /// Changes, limits and crashes of endpoints.
+    Endpoints(Box<SharedEndpoints>),
     /// The sender's version of the group is out of date, so the request was rejected. Carries
     /// the newest group.
     GroupSuperseded(Group),
@@ -229,4 +249,6 @@
     StorageFull,
     /// Whether a token to send a request was granted.
     Send(SendGrant),
+    /// The number of crashes counted for each request of a report, then for each family.
+    Crashes(Vec<u32>),
 }
