--- a/crates/gateway/src/edge/crashes.rs
+++ b/crates/gateway/src/edge/crashes.rs
@@ -10,7 +10,6 @@
 
 use hyper::StatusCode;
 use jayreel_ledger::{EndpointRun, Fingerprint, RequestFingerprints, SharedSuspects};
-
 use tokio::sync::Notify;
 
 use crate::balance::{EndpointKey, Pick};
@@ -82,9 +81,7 @@
             tokio::task::spawn_local(check_for_crash(Rc::clone(self), pick.clone(), run));
         }
     }
-}
 
-impl Edge {
     /// Refuses a request that has crashed too many endpoints. It has run, so the refusal does not
     /// say that it has not.
     pub(crate) fn check_crashes(
