review: stored turns answered 404 after a retirement and a lost disk

Cause: in a group of two, a member that lost its disk copies from the other one and votes, before it has copied from the member that is leaving. Both then say that they lack turns which only that one holds.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod handover;
 mod http;
 mod json;
+mod leave;
 mod store;
 mod worker;
 
@@ -18,6 +19,7 @@
     let case = fleet::Case::new(std::path::Path::new(folder));
     match name.as_str() {
         "handover" => handover::run(case),
+        "leave" => leave::run(case),
         _ => {
             eprintln!("unknown case {name}");
             std::process::exit(2);
