review: a long conversation loses its first turns

Cause: only a member that holds a chain without a gap extends the retention of its older turns, and members hold two thirds of the turns each.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,6 @@
 //! Plays one case against the product's own processes. Arguments: the case and its folder.
 
+mod chain;
 mod deployment;
 mod fleet;
 mod handover;
@@ -18,6 +19,7 @@
     // A panic of the case's own code means that it could not run.
     let case = fleet::Case::new(std::path::Path::new(folder));
     match name.as_str() {
+        "chain" => chain::run(case),
         "handover" => handover::run(case),
         "leave" => leave::run(case),
         _ => {
