--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod leave;
+mod overlap;
 mod store;
 mod worker;
 
@@ -22,6 +23,7 @@
         "chain" => chain::run(case),
         "handover" => handover::run(case),
         "leave" => leave::run(case),
+        "overlap" => overlap::run(case),
         _ => {
             eprintln!("unknown case {name}");
             std::process::exit(2);
