review: a crash of a rack of workers blocks an innocent input

Cause: three workers that crash at the same moment count as three crashes of each request with the same path, caller and body, and good ends do not clear it.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod leave;
 mod overlap;
+mod rack;
 mod store;
 mod worker;
 
@@ -24,6 +25,7 @@
         "handover" => handover::run(case),
         "leave" => leave::run(case),
         "overlap" => overlap::run(case),
+        "rack" => rack::run(case),
         _ => {
             eprintln!("unknown case {name}");
             std::process::exit(2);
