--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -52,7 +52,7 @@
         .map(|number| {
             let ip = case.new_ip();
             let zone = zones[number as usize % zones.len()];
-            Worker::start(&format!("w-{number}"), ip, None, zone, &case.store, &case.record, Arc::clone(behaviour))
+            Worker::start(&format!("w-{number}"), ip, zone, &case.store, &case.record, Arc::clone(behaviour))
         })
         .collect();
     case.start_all();
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -173,7 +173,7 @@
     });
 }
 
-pub fn serve_connection(stream: TcpStream, handler: &Handler) {
+fn serve_connection(stream: TcpStream, handler: &Handler) {
     let _ = stream.set_nodelay(true);
     let mut connection = Connection::new(stream);
     while let Ok(Some(mut request)) = connection.head() {
