Keep all turns of a conversation while it goes on

Cause: each member extends the retention of older turns only as far as it holds the chain itself. A turn has copies on two of three members, so no member holds a chain without a gap for long, and the first turns expire.

Ruled out: members out of reach and failed replies, since newer turns of the same conversations were read from the same members at the same time, and the reducers alone show the loss.

Change: the entry instance that builds a prompt names each turn of the chain to every member, in batches, until each member has confirmed. A turn is named at most once in a quarter of its retention. A renewal carries the retention of the route that uses the turn, and the retention now includes the route's timeout, so related cases (a route with a longer retention, a request that outlives the margin) are covered too.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -53,7 +53,7 @@
 pub(crate) const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 250;
 
 /// Turns are kept for this much longer than the route's retention, in milliseconds: clocks
-/// differ between machines, and a turn may expire while a request still uses it.
+/// differ between machines, and renewals are sent in batches.
 const RETENTION_MARGIN_MS: u64 = 60_000;
 
 /// Number of turns in the first request for a conversation's history. If callers alternate
@@ -400,7 +400,7 @@
         previous: admitted.call.previous_turn.clone(),
         input,
         output: Bytes::new(),
-        retention_ms: 2 * admitted.route.retention_ms + RETENTION_MARGIN_MS,
+        retention_ms: stored_retention_ms(&admitted.route),
     });
     stream::run(StreamCall::new(
         edge,
@@ -411,6 +411,15 @@
     .await
 }
 
+/// How long the members keep a turn after its last use, in milliseconds. Twice the promised time,
+/// since a use does not always renew it, and the longest time for which a request uses it.
+fn stored_retention_ms(route: &Route) -> u64 {
+    let promised_ms = route.retention_ms.saturating_mul(2);
+    promised_ms
+        .saturating_add(route.timeout_ms)
+        .saturating_add(RETENTION_MARGIN_MS)
+}
+
 /// Builds the prompt of a turn from the conversation's history and the new input. On routes that
 /// do not store turns the body is the prompt.
 async fn assemble_prompt(
@@ -422,9 +431,11 @@
         return Ok(input.clone());
     }
     let mut chain = Vec::new();
+    let mut digests = Vec::new();
     let mut next = admitted.call.previous_turn.clone();
     while let Some(turn) = next.take() {
-        let cached = edge.turns.borrow().get(TurnDigest::of(&turn));
+        let digest = TurnDigest::of(&turn);
+        let cached = edge.turns.borrow().get(digest);
         let record = match cached {
             Some(record) => record,
             None => fetch_chain(edge, &turn, chain.is_empty()).await?,
@@ -434,7 +445,10 @@
         }
         next.clone_from(&record.previous);
         chain.push(record);
+        digests.push(digest);
     }
+    edge.members
+        .record_use(&digests, stored_retention_ms(&admitted.route));
     Ok(build_prompt(&chain, input))
 }
 
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -15,7 +15,7 @@
     BudgetCheck, CrashReport, Decision, EndpointCursor, EndpointLimit, Fingerprint,
     Group, Member, MemberRequest, MemberResponse, Phase, QuotaRequest, Reservation,
     SendGrant, Settlement, SharedConfiguration, SharedEndpoints, Suspect,
-    SuspectsVersion, TurnRecord, ZonePresence,
+    SuspectsVersion, TurnDigest, TurnRecord, TurnRenewal, ZonePresence,
 };
 use jayreel_membership::rank;
 
@@ -23,6 +23,7 @@
 use crate::contact::GroupContact;
 use crate::link::{LinkError, MemberClient};
 use crate::membership::DECISION_TIMEOUT_MS;
+use crate::renewals::RenewalQueue;
 
 /// Timeout of a request for which a member may need its disk, in milliseconds: several disk syncs
 /// and the round trip.
@@ -89,6 +90,7 @@
     is_group_outdated: Cell<bool>,
     /// When a member last reported that its disk is full.
     storage_full_ms: Cell<Option<u64>>,
+    renewals: RefCell<RenewalQueue>,
 }
 
 impl Members {
@@ -101,6 +103,7 @@
             contact: RefCell::default(),
             is_group_outdated: Cell::new(false),
             storage_full_ms: Cell::new(None),
+            renewals: RefCell::default(),
         }
     }
 
@@ -372,6 +375,10 @@
         loop {
             let version = self.group().version;
             let stored = self.store_turn_once(record).await;
+            if stored.is_ok() {
+                let turn = TurnDigest::of(&record.turn);
+                self.renewals.borrow_mut().record_stored(now_ms(), turn);
+            }
             if stored.is_ok() || now_ms() >= until_ms {
                 return stored;
             }
@@ -489,6 +496,40 @@
         }
     }
 
+    /// Records that a conversation uses all turns of `chain`, which must then be kept for
+    /// `retention_ms`. The members are told by [`Members::send_renewals`].
+    pub fn record_use(&self, chain: &[TurnDigest], retention_ms: u64) {
+        let group = self.group();
+        let mut renewals = self.renewals.borrow_mut();
+        renewals.record_use(now_ms(), &group, chain, retention_ms);
+    }
+
+    /// Tells the members which turns are still used. What a member does not confirm is sent to it
+    /// again by the next call.
+    pub async fn send_renewals(&self) {
+        let group = self.group();
+        let batches = self.renewals.borrow_mut().next_batches(&group);
+        let sends = batches.iter().map(|(name, renewals)| {
+            let member = group.members.iter().find(|member| member.name == *name);
+            self.send_renewals_to(group.version, member, renewals)
+        });
+        futures::future::join_all(sends).await;
+    }
+
+    async fn send_renewals_to(
+        &self,
+        group_version: u64,
+        member: Option<&Member>,
+        renewals: &[TurnRenewal],
+    ) {
+        let Some(member) = member else { return };
+        let request = MemberRequest::RenewTurns(renewals.to_vec());
+        let sent = self.send_request(group_version, member, request, MEMORY_TIMEOUT_MS);
+        if let Ok(MemberResponse::Done) = sent.await {
+            self.renewals.borrow_mut().confirm(&member.name, renewals);
+        }
+    }
+
     /// Requests rate-limit tokens from one member. Returns the number granted for each entry of
     /// `quota_requests`, or `None` without a usable response.
     pub async fn take_quota(
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -50,6 +50,10 @@
 /// Interval at which expired idle connections are closed, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 1_000;
 
+/// Interval at which the members are told which stored turns are still used, in milliseconds. A
+/// fraction of `RETENTION_MARGIN_MS`, which covers the delay.
+const RENEWAL_INTERVAL_MS: u64 = 5_000;
+
 /// Longest wait for a group after the start, in milliseconds. When the whole system starts for
 /// the first time, the group is created only after the storage instances have registered.
 /// Configuration and endpoints are not read before that, since without a group nothing can be
@@ -68,6 +72,15 @@
     tokio::task::spawn_local(probe_loop(Rc::clone(edge)));
     tokio::task::spawn_local(sweep_loop(Rc::clone(edge)));
     tokio::task::spawn_local(follow_presence(Rc::clone(edge)));
+    tokio::task::spawn_local(renew_turns(Rc::clone(edge)));
+}
+
+/// Tells the members periodically which stored turns are still used.
+async fn renew_turns(edge: Rc<Edge>) {
+    loop {
+        pause(RENEWAL_INTERVAL_MS).await;
+        edge.members.send_renewals().await;
+    }
 }
 
 /// Reads the configuration periodically from the nearest member, or from the metadata store
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod presence;
 mod protocol;
 mod quota_buffer;
+mod renewals;
 mod retry;
 mod settings;
 pub mod storage;
@@ -62,6 +63,7 @@
     ProgramCall,
 };
 pub use quota_buffer::{BufferedToken, QuotaBuffer};
+pub use renewals::RenewalQueue;
 pub use retry::{Attempt, Outcome, RetryPolicy, Step};
 pub use settings::{Bounds, NodeSettings, ProcessLimits};
 pub use suspect_table::SuspectTable;
--- a/crates/gateway/src/storage/requests.rs
+++ b/crates/gateway/src/storage/requests.rs
@@ -91,6 +91,12 @@
                 self.crash_suspects.restore(now_ms, &suspects);
                 vec![reply_now(MemberResponse::Done)]
             }
+            MemberRequest::RenewTurns(renewals) => {
+                for renewal in &renewals {
+                    self.state.renew_turn(now_ms, renewal);
+                }
+                vec![reply_now(MemberResponse::Done)]
+            }
             MemberRequest::TakeSend(candidates) if self.is_voting() => {
                 let shares = self.shares(now_ms);
                 let grant = self.endpoint_limits.take(now_ms, &candidates, shares);
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -63,6 +63,15 @@
     pub max_turn_tokens: u32,
 }
 
+/// Part of [`MemberRequest::RenewTurns`]: a stored turn that a conversation still uses.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TurnRenewal {
+    /// The turn.
+    pub turn: TurnDigest,
+    /// The least time that it is to be kept from now on, in milliseconds.
+    pub retention_ms: u64,
+}
+
 /// What an instance requests of a storage instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum MemberRequest {
@@ -131,6 +140,8 @@
     ClearSuspects(Vec<Fingerprint>),
     /// Requests that were given up, for a member that has forgotten them.
     RestoreSuspects(Vec<Suspect>),
+    /// Restart the retention time of those of these turns that the instance holds.
+    RenewTurns(Vec<TurnRenewal>),
 }
 
 /// A position in the sequence of endpoint changes that one storage instance serves.
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::log::{FrameLocation, LogEntry};
+use crate::message::TurnRenewal;
 use crate::record::{
     ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnDigest,
     TurnRecord, turn_digest,
@@ -356,8 +357,8 @@
         true
     }
 
-    /// Restarts the retention time of a turn and of the turns that it continues, so that they
-    /// are kept together.
+    /// Restarts the retention time of a turn and of the turns that it continues, up to the first
+    /// one that this instance does not hold. The others are kept by [`LedgerState::renew_turn`].
     fn extend_retention(&mut self, now_ms: u64, turn: Option<TurnDigest>) {
         let mut next = turn;
         while let Some(stored) = next.and_then(|turn| self.turns.get_mut(&turn)) {
@@ -367,6 +368,15 @@
         }
     }
 
+    /// Restarts the retention time of a turn. Does nothing if this instance does not hold it.
+    pub fn renew_turn(&mut self, now_ms: u64, renewal: &TurnRenewal) {
+        if let Some(stored) = self.turns.get_mut(&renewal.turn) {
+            let retention_ms = stored.retention_ms.max(renewal.retention_ms);
+            stored.expires_ms =
+                stored.expires_ms.max(now_ms.saturating_add(retention_ms));
+        }
+    }
+
     /// Charges of all turns of a program, in no particular order. Empty if the program is
     /// unknown.
     pub fn charges(&self, program: &ProgramKey) -> Vec<ChargeView> {
@@ -385,7 +395,8 @@
 
     /// Returns the positions of a turn and of up to `max_turns` - 1 of those that it continues,
     /// newest first, ending at the first one that this instance does not hold, or once their
-    /// frames reach `max_bytes`. Extends the retention of the whole chain.
+    /// frames reach `max_bytes`. Extends the retention of the chain as far as this instance
+    /// holds it without a gap.
     pub fn chain(
         &mut self,
         now_ms: u64,
