Copy long turns without closing the connection

Cause: a connection was closed when its unsent replies took more than a quarter of the memory for replies, which one reply with a turn of 2.7 MB does. The copying member learned of it by its timeout of 2 s, so it copied one long turn in about 2 s and was not whole when the second disk was lost.

Ruled out: the disk and the memory for reads.

Change: no more requests are read from a connection whose replies take too much; it is closed only if nothing could be written for 5 s. Timeouts of requests for turns start anew while a response arrives. The largest turn is a constant that sizes the frames and is checked against the log; longer inputs on routes that store turns get 413. Copies have connections of their own and wait for a sender without memory. The time to store a turn grows with its length.

--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use jayreel_ledger::{QuotaPurpose, QuotaRequest, TurnBudget};
+use jayreel_ledger::{MAX_TURN_INPUT_BYTES, QuotaPurpose, QuotaRequest, TurnBudget};
 use rand::RngExt;
 
 use crate::clock::now_ms;
@@ -198,16 +198,27 @@
     }
 }
 
-/// Reads the whole body, within the size limit of the configuration and `timeout_ms`.
+/// Largest request body on a route, in bytes. A turn that is stored must also fit into the messages
+/// of the storage group.
+fn max_body_bytes(configuration: &Configuration, route: &Route) -> usize {
+    let max_bytes = configuration.limits.max_body_bytes;
+    match route.stores_turns {
+        true => max_bytes.min(MAX_TURN_INPUT_BYTES),
+        false => max_bytes,
+    }
+}
+
+/// Reads the whole body, within the size limit of the route and `timeout_ms`.
 pub(crate) async fn read_body(
     configuration: &Configuration,
+    route: &Route,
     body: Incoming,
     timeout_ms: u64,
 ) -> Result<Bytes, Refusal> {
     if hyper::body::Body::is_end_stream(&body) {
         return Ok(Bytes::new());
     }
-    let limited = Limited::new(body, configuration.limits.max_body_bytes);
+    let limited = Limited::new(body, max_body_bytes(configuration, route));
     let reading =
         tokio::time::timeout(Duration::from_millis(timeout_ms), limited.collect());
     match reading.await {
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -188,7 +188,7 @@
     let service = choose_service(&route);
     check_endpoints(edge, &service)?;
     check_group(edge, &route, &call, customer.is_some())?;
-    let body = read_body(&configuration, body, timeout_ms).await?;
+    let body = read_body(&configuration, &route, body, timeout_ms).await?;
     let target = origin_form(parts);
     let fingerprints = RequestFingerprints::of(&RequestIdentity {
         method: parts.method.as_str(),
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -44,9 +44,13 @@
 /// to the remaining members as well: the time of a few disk syncs.
 const HEDGE_DELAY_MS: u64 = 50;
 
-/// Storing a finished turn fails if it has too few copies after this time, in milliseconds.
+/// Storing a short turn fails if it has too few copies after this time, in milliseconds.
 const STORE_TURN_TIMEOUT_MS: u64 = 1_200;
 
+/// A long turn gets a millisecond more for each of this many bytes: the copies of one turn on a
+/// link of 30 Mbit/s.
+const STORE_BYTES_PER_MS: u64 = 1_000;
+
 /// Pause before another attempt to store a finished turn, in milliseconds.
 const STORE_TURN_RETRY_MS: u64 = 50;
 
@@ -70,6 +74,12 @@
     }
 }
 
+/// Time within which a turn must be stored, in milliseconds.
+fn store_timeout_ms(record: &TurnRecord) -> u64 {
+    let bytes = (record.input.len() + record.output.len()) as u64;
+    STORE_TURN_TIMEOUT_MS + bytes / STORE_BYTES_PER_MS
+}
+
 /// Result of a search for a turn and the turns before it.
 #[derive(Debug)]
 pub enum ChainLookup {
@@ -371,7 +381,7 @@
         self: &Rc<Self>,
         record: &TurnRecord,
     ) -> Result<(), NoQuorum> {
-        let until_ms = now_ms() + STORE_TURN_TIMEOUT_MS;
+        let until_ms = now_ms() + store_timeout_ms(record);
         loop {
             let version = self.group().version;
             let stored = self.store_turn_once(record).await;
@@ -398,9 +408,10 @@
         let key = record.previous.as_deref().unwrap_or(&record.turn);
         let mut candidates = self.nearest_first(key).into_iter();
         let copies = group.copies().max(1);
+        let timeout_ms = store_timeout_ms(record);
         let send_next = |member: Member| {
             let request = MemberRequest::StoreTurn(record.clone());
-            self.spawn_request(group.version, &member, request, STORE_TURN_TIMEOUT_MS)
+            self.spawn_request(group.version, &member, request, timeout_ms)
         };
         let mut pending = FuturesUnordered::new();
         pending.extend(candidates.by_ref().take(copies).map(&send_next));
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
-use jayreel_ledger::{Reservation, Settlement, TurnRecord};
+use jayreel_ledger::{MAX_TURN_OUTPUT_BYTES, Reservation, Settlement, TurnRecord};
 use tokio::sync::mpsc;
 
 use crate::balance::Pick;
@@ -37,10 +37,6 @@
 /// Reason of an interruption by an event without end.
 const EVENT_TOO_LARGE: &str = "event too large";
 
-/// Largest output of a turn that is stored, in bytes. With the largest input it fits into one
-/// message to a member.
-const MAX_OUTPUT_BYTES: usize = 4 << 20;
-
 /// Tokens reserved for a turn in its program's budget. Dropping it reports the tokens that were
 /// used to the members, which release the rest.
 pub(crate) struct BudgetReservation {
@@ -211,7 +207,7 @@
         match used_tokens {
             Some(used_tokens) if used_tokens >= max_tokens => Some("too many tokens"),
             _ if self.unfinished_turn.is_none() => None,
-            _ if self.output.len() + data_bytes > MAX_OUTPUT_BYTES => {
+            _ if self.output.len() + data_bytes > MAX_TURN_OUTPUT_BYTES => {
                 Some("output too long")
             }
             _ => None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod log_fields;
 mod log_queue;
 mod membership;
+mod metered;
 mod metrics;
 mod presence;
 mod protocol;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -15,19 +15,29 @@
 use bytes::{Bytes, BytesMut};
 use futures::future::LocalBoxFuture;
 use futures::{FutureExt, SinkExt, StreamExt};
-use jayreel_ledger::{Member, MemberRequest, MemberResponse, Reply, Request};
+use jayreel_ledger::{
+    MAX_TURN_INPUT_BYTES, MAX_TURN_OUTPUT_BYTES, Member, MemberRequest, MemberResponse,
+    Reply, Request,
+};
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::task::JoinHandle;
+use tokio::time::error::Elapsed;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::clock::now_ms;
 use crate::http_connection::connect_tcp;
+use crate::metered::{Activity, Metered};
+use crate::storage::MAX_RESPONSE_BYTES;
 
-/// Largest frame, in bytes. Sized for one part of a copy of the stored records that contains one
-/// large turn.
-const MAX_FRAME_BYTES: usize = 12 << 20;
+/// Largest frame, in bytes: a response with turns, the last of which may be of the largest size,
+/// and their identifiers.
+const MAX_FRAME_BYTES: usize = MAX_RESPONSE_BYTES as usize
+    + MAX_TURN_INPUT_BYTES
+    + MAX_TURN_OUTPUT_BYTES
+    + (1 << 20);
 
 /// Time to establish a connection, in milliseconds: several times the latency between the
 /// farthest zones.
@@ -37,7 +47,7 @@
 /// requests don't wait for an instance that is known to be unreachable.
 const RETRY_PAUSE_MS: u64 = 60;
 
-/// A connection on which nothing arrived for this long while a request waits is given up, in
+/// A connection on which no byte arrived for this long while a request waits is given up, in
 /// milliseconds. Requests time out sooner: a busy instance responds late, and a new connection would
 /// add to its work. The kernel closes one that no longer carries data.
 const GIVE_UP_SILENCE_MS: u64 = 1_000;
@@ -69,13 +79,24 @@
 struct Connection {
     outgoing: mpsc::UnboundedSender<Request>,
     pending: PendingResponses,
-    /// When the first request was sent to which nothing has arrived since. `None` if there is none.
+    /// When the first request was sent after the last complete response. `None` if there is none.
     silent_since_ms: Rc<Cell<Option<u64>>>,
+    /// The bytes that have arrived.
+    receiving: Rc<Activity>,
+    /// Number of those that belong to complete responses.
+    complete_bytes: Rc<Cell<u64>>,
     next_id: Cell<u64>,
     /// The tasks that read and write the socket.
     tasks: [JoinHandle<()>; 2],
 }
 
+impl Connection {
+    /// Whether the last bytes that arrived belong to a response that is not complete yet.
+    fn is_mid_response(&self) -> bool {
+        self.receiving.transferred_bytes() > self.complete_bytes.get()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         for task in &self.tasks {
@@ -109,8 +130,9 @@
     ///
     /// # Errors
     ///
-    /// If no response arrived within `timeout_ms`. The request may have taken effect, unless the
-    /// error is [`LinkError::NotConnected`].
+    /// If no response arrived within `timeout_ms`. For a request whose response may be long, if
+    /// no response arrived and then no byte of any for `timeout_ms`. The request may have taken
+    /// effect, unless the error is [`LinkError::NotConnected`].
     pub(crate) async fn send_request(
         &self,
         group_version: u64,
@@ -124,6 +146,7 @@
         connection.pending.borrow_mut().insert(id, sender);
         let silent_since_ms = &connection.silent_since_ms;
         silent_since_ms.set(silent_since_ms.get().or(Some(now_ms())));
+        let may_be_long = request.asks_for_turns();
         let request = Request {
             id,
             group_version,
@@ -133,7 +156,7 @@
             self.abandon(&connection).await;
             return Err(LinkError::Broken);
         }
-        match tokio::time::timeout(Duration::from_millis(timeout_ms), receiver).await {
+        match wait_for_response(&connection, receiver, timeout_ms, may_be_long).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(_)) => {
                 self.abandon(&connection).await;
@@ -142,7 +165,9 @@
             Err(_) => {
                 connection.pending.borrow_mut().remove(&id);
                 let since_ms = connection.silent_since_ms.get();
-                if since_ms.is_some_and(|ms| ms + GIVE_UP_SILENCE_MS <= now_ms()) {
+                let is_silent =
+                    since_ms.is_some_and(|ms| ms + GIVE_UP_SILENCE_MS <= now_ms());
+                if is_silent && connection.receiving.idle_ms() >= GIVE_UP_SILENCE_MS {
                     self.abandon(&connection).await;
                 }
                 Err(LinkError::TimedOut)
@@ -188,6 +213,32 @@
     }
 }
 
+/// Waits for the response to a request. If it `may_be_long`, the timeout begins anew as long as the
+/// connection is in the middle of a response and bytes arrive.
+async fn wait_for_response(
+    connection: &Connection,
+    mut receiver: oneshot::Receiver<MemberResponse>,
+    timeout_ms: u64,
+    may_be_long: bool,
+) -> Result<Result<MemberResponse, oneshot::error::RecvError>, Elapsed> {
+    let mut wait_ms = timeout_ms;
+    loop {
+        let wait = Duration::from_millis(wait_ms);
+        let response = tokio::time::timeout(wait, &mut receiver).await;
+        let idle_ms = connection.receiving.idle_ms();
+        match response {
+            Err(_)
+                if may_be_long
+                    && connection.is_mid_response()
+                    && idle_ms < timeout_ms =>
+            {
+                wait_ms = timeout_ms - idle_ms;
+            }
+            response => return response,
+        }
+    }
+}
+
 /// The pending response to a request.
 pub type ResponseFuture = LocalBoxFuture<'static, Result<MemberResponse, LinkError>>;
 
@@ -249,12 +300,23 @@
     let (outgoing, queue) = mpsc::unbounded_channel();
     let pending = PendingResponses::default();
     let silent_since_ms = Rc::new(Cell::new(None));
-    let reader = read_replies(read, Rc::clone(&pending), Rc::clone(&silent_since_ms));
+    let receiving = Activity::new();
+    let complete_bytes = Rc::default();
+    let reader = ReplyReader {
+        frames: FramedRead::new(Metered::new(read, &receiving), codec()),
+        pending: Rc::clone(&pending),
+        silent_since_ms: Rc::clone(&silent_since_ms),
+        receiving: Rc::clone(&receiving),
+        complete_bytes: Rc::clone(&complete_bytes),
+    };
+    let reader = reader.run();
     let writer = write_messages(write, queue);
     Connection {
         outgoing,
         pending,
         silent_since_ms,
+        receiving,
+        complete_bytes,
         next_id: Cell::new(1),
         tasks: [
             tokio::task::spawn_local(reader),
@@ -263,34 +325,44 @@
     }
 }
 
-/// Passes each response to the request that waits for it, until the connection ends.
-async fn read_replies(
-    read: OwnedReadHalf,
+/// Reads the responses of a connection. The fields other than `frames` are those of its
+/// [`Connection`].
+struct ReplyReader {
+    frames: FramedRead<Metered<OwnedReadHalf>, LengthDelimitedCodec>,
     pending: PendingResponses,
     silent_since_ms: Rc<Cell<Option<u64>>>,
-) {
-    let mut frames = FramedRead::new(read, codec());
-    while let Some(Ok(frame)) = frames.next().await {
-        silent_since_ms.set(None);
-        match postcard::from_bytes::<Reply>(&frame) {
-            Ok(reply) => {
-                let sender = pending.borrow_mut().remove(&reply.id);
-                // A request that timed out no longer waits, so its response is dropped.
-                let _ = sender.map(|sender| sender.send(reply.body));
-            }
-            Err(error) => {
-                log::warn!("event=reply_unreadable reason={error:?}");
-                break;
+    receiving: Rc<Activity>,
+    complete_bytes: Rc<Cell<u64>>,
+}
+
+impl ReplyReader {
+    /// Passes each response to the request that waits for it, until the connection ends.
+    async fn run(mut self) {
+        while let Some(Ok(frame)) = self.frames.next().await {
+            self.silent_since_ms.set(None);
+            let buffered_bytes = self.frames.read_buffer().len() as u64;
+            let received_bytes = self.receiving.transferred_bytes();
+            self.complete_bytes.set(received_bytes - buffered_bytes);
+            match postcard::from_bytes::<Reply>(&frame) {
+                Ok(reply) => {
+                    let sender = self.pending.borrow_mut().remove(&reply.id);
+                    // A request that timed out no longer waits, so its response is dropped.
+                    let _ = sender.map(|sender| sender.send(reply.body));
+                }
+                Err(error) => {
+                    log::warn!("event=reply_unreadable reason={error:?}");
+                    break;
+                }
             }
         }
+        self.pending.borrow_mut().clear();
     }
-    pending.borrow_mut().clear();
 }
 
 /// Writes queued messages until the queue or the connection closes. All messages that are
 /// queued at the same time share one flush.
 pub(crate) async fn write_messages<T: serde::Serialize>(
-    write: OwnedWriteHalf,
+    write: impl AsyncWrite + Unpin,
     mut queue: mpsc::UnboundedReceiver<T>,
 ) {
     let mut frames = FramedWrite::new(write, codec());
--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -47,9 +47,14 @@
 /// Timeout for a request to another storage instance, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 400;
 
-/// Timeout for copying one part of the records, in milliseconds.
+/// Timeout for copying one part of the records, in milliseconds. A part with turns may take longer
+/// as long as it goes on.
 const PART_TIMEOUT_MS: u64 = 2_000;
 
+/// Number of times that a part of a copy is requested again from an instance that has no memory
+/// for it at the moment.
+const MAX_PART_RETRIES: usize = 50;
+
 /// Number of turns in a request for a copy. The response contains fewer if they are large.
 const MAX_COPIED_TURNS: usize = 256;
 
@@ -212,7 +217,7 @@
 /// respond, does not hold all records itself, or the group changes meanwhile; the caller then
 /// starts over.
 async fn copy_from(process: &Rc<StorageProcess>, source: &Member) {
-    let link = process.links.to(source);
+    let link = process.copy_links.to(source);
     let group = process.node.borrow().group().clone();
     let version = group.version;
     let adopted = link
@@ -295,7 +300,8 @@
         while !left.is_empty() {
             let requested = &left[..left.len().min(MAX_COPIED_TURNS)];
             let request = MemberRequest::CopyTurns(requested.to_vec());
-            let MemberResponse::Turns { turns, covered } = self.send(request).await?
+            let MemberResponse::Turns { turns, covered } =
+                self.send_when_available(request).await?
             else {
                 return None;
             };
@@ -307,6 +313,20 @@
         Some(())
     }
 
+    /// Like `send`, but repeats the request while the source has no memory for the response.
+    async fn send_when_available(
+        &self,
+        request: MemberRequest,
+    ) -> Option<MemberResponse> {
+        for _ in 0..MAX_PART_RETRIES {
+            match self.send(request.clone()).await? {
+                MemberResponse::Unavailable => pause(COPY_INTERVAL_MS).await,
+                response => return Some(response),
+            }
+        }
+        None
+    }
+
     /// Sends a request. `None` if there was no usable response, or the group has changed.
     async fn send(&self, request: MemberRequest) -> Option<MemberResponse> {
         let response = self
--- a/crates/gateway/src/storage/mod.rs
+++ b/crates/gateway/src/storage/mod.rs
@@ -20,6 +20,7 @@
 pub use node::{
     ConfigurationUpdate, ConnectionKey, Effect, Event, Node, NodeOptions, StorageUsage,
 };
+pub(crate) use reads::MAX_RESPONSE_BYTES;
 pub use reads::ReadKey;
 pub use recovery::RecoveredLog;
 pub use serve::run;
--- a/crates/gateway/src/storage/reads.rs
+++ b/crates/gateway/src/storage/reads.rs
@@ -9,7 +9,7 @@
 use super::node::{ConnectionKey, Effect, Node};
 
 /// Largest response with turns, in bytes of their frames. It exceeds this by less than one turn.
-pub(super) const MAX_RESPONSE_BYTES: u64 = 512 << 10;
+pub(crate) const MAX_RESPONSE_BYTES: u64 = 512 << 10;
 
 new_key_type! {
     /// A read from the disk that has not ended.
--- a/crates/gateway/src/storage/replies.rs
+++ b/crates/gateway/src/storage/replies.rs
@@ -1,18 +1,31 @@
-//! Memory of replies that wait to be sent. A receiver that does not read loses its connection; while
-//! all replies together take too much, requests for turns are rejected.
+//! Memory of replies that wait to be sent. No more requests are read from a connection whose replies
+//! take too much; while all replies together take too much, requests for turns are rejected.
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use jayreel_ledger::{MemberResponse, Reply, SharedEndpoints};
 use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::clock::now_ms;
+use crate::metered::Activity;
 
 /// Approximate size of a reply without turns, in bytes.
 const SMALL_REPLY_BYTES: usize = 256;
 
-/// Largest share of the memory limit for replies that one connection may take, as a divisor.
+/// Share of the memory limit for replies at which no more requests are read from a connection, as
+/// a divisor. A single reply may be longer.
 const CONNECTION_DIVISOR: usize = 4;
 
+/// A connection loses its replies if nothing could be written to it for this long, in
+/// milliseconds. Longer than an instance takes to restart.
+const STALLED_MS: u64 = 5_000;
+
+/// Interval at which a connection with too many replies is checked, in milliseconds.
+const STALL_CHECK_MS: u64 = 500;
+
 /// Memory of replies that wait to be sent, on one connection or on all.
 #[derive(Debug)]
 pub(super) struct ReplyBudget {
@@ -20,6 +33,8 @@
     max_bytes: usize,
     /// The budget of all connections, if this is that of one.
     parent: Option<Rc<ReplyBudget>>,
+    /// Notified when memory is released. At most one task waits for it.
+    released: Notify,
 }
 
 impl ReplyBudget {
@@ -29,6 +44,7 @@
             used_bytes: Cell::new(0),
             max_bytes,
             parent: None,
+            released: Notify::new(),
         }
     }
 
@@ -38,6 +54,7 @@
             used_bytes: Cell::new(0),
             max_bytes: all.max_bytes / CONNECTION_DIVISOR,
             parent: Some(Rc::clone(all)),
+            released: Notify::new(),
         }
     }
 
@@ -58,10 +75,27 @@
 
     fn release(&self, bytes: usize) {
         self.used_bytes.set(self.used_bytes.get() - bytes);
+        self.released.notify_one();
         if let Some(parent) = &self.parent {
             parent.release(bytes);
         }
     }
+
+    /// Waits until the replies of a connection fit into its budget. Returns false if its receiver
+    /// has stopped reading.
+    pub(super) async fn wait_for_room(&self, sending: &Activity) -> bool {
+        let interval = Duration::from_millis(STALL_CHECK_MS);
+        let began_ms = now_ms();
+        while self.is_exceeded() {
+            let waited_ms = now_ms().saturating_sub(began_ms);
+            if waited_ms.min(sending.idle_ms()) >= STALLED_MS {
+                return false;
+            }
+            // After a timeout the receiver is checked again.
+            let _ = tokio::time::timeout(interval, self.released.notified()).await;
+        }
+        true
+    }
 }
 
 /// A reply in the queue of a connection. Counts towards the budget until it is dropped.
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -7,7 +7,7 @@
 use eyre::{OptionExt, ensure};
 use futures::StreamExt;
 use jayreel_ledger::{
-    FrameLocation, Member, MemberRequest, MemberResponse, Reply, TurnDigest, TurnRecord,
+    FrameLocation, Member, MemberResponse, Reply, TurnDigest, TurnRecord,
 };
 use slotmap::SlotMap;
 use tokio::net::TcpStream;
@@ -17,6 +17,7 @@
 use crate::directory::MetadataStore;
 use crate::edge::listen::{accept, listen, serve_text, wait_for_shutdown_signal};
 use crate::link::{LinkPool, accept as split, decode_request, write_messages};
+use crate::metered::{Activity, Metered};
 use crate::settings::NodeSettings;
 use crate::storage::disk::Disk;
 use crate::storage::log_state::StorageLimits;
@@ -51,6 +52,9 @@
     pub copied_records: Cell<u64>,
     /// Connections to other storage instances.
     pub links: LinkPool,
+    /// Connections for copies from other storage instances, so that requests which must be
+    /// answered at once do not wait behind long turns.
+    pub copy_links: LinkPool,
 }
 
 /// Where the replies of one connection wait.
@@ -110,6 +114,7 @@
         reply_budget: Rc::new(ReplyBudget::new(limits.reply_bytes)),
         copied_records: Cell::new(0),
         links: LinkPool::default(),
+        copy_links: LinkPool::default(),
     });
     maintenance::start(&process);
     let disk_failed = tokio::task::spawn_local(follow_disk(Rc::clone(&process), synced));
@@ -148,15 +153,20 @@
     let (mut frames, write) = split(stream);
     let (sender, queue) = mpsc::unbounded_channel();
     let budget = Rc::new(ReplyBudget::of_connection(&process.reply_budget));
-    let reply_queue = ReplyQueue { sender, budget };
+    let reply_queue = ReplyQueue {
+        sender,
+        budget: Rc::clone(&budget),
+    };
     let key = process.connections.borrow_mut().insert(reply_queue);
+    let sending = Activity::new();
+    let write = Metered::new(write, &sending);
     let writer = tokio::task::spawn_local(write_messages(write, queue));
     while let Some(Ok(frame)) = frames.next().await {
         let Some(request) = decode_request(&frame) else {
             log::warn!("event=request_unreadable");
             break;
         };
-        if process.reply_budget.is_exceeded() && asks_for_turns(&request.body) {
+        if process.reply_budget.is_exceeded() && request.body.asks_for_turns() {
             let (id, body) = (request.id, MemberResponse::Unavailable);
             process.send(key, Reply { id, body });
             continue;
@@ -165,19 +175,18 @@
             connection: key,
             request,
         });
+        if !budget.wait_for_room(&sending).await {
+            log::warn!(
+                "event=connection_cut reason=unsent_replies used_bytes={}",
+                budget.used_bytes()
+            );
+            break;
+        }
     }
     process.connections.borrow_mut().remove(key);
     writer.abort();
 }
 
-/// Whether the reply to a request contains turns.
-fn asks_for_turns(request: &MemberRequest) -> bool {
-    matches!(
-        request,
-        MemberRequest::Chain { .. } | MemberRequest::CopyTurns(_)
-    )
-}
-
 impl StorageProcess {
     /// Describes this instance as a member, for the group and the metadata store.
     pub(crate) fn as_member(&self) -> Member {
@@ -206,23 +215,15 @@
         }
     }
 
-    /// Queues a reply. Drops it if the connection has closed, and closes the connection if too
-    /// many replies wait for a receiver that does not read.
+    /// Queues a reply. Drops it if the connection has closed.
     fn send(&self, connection: ConnectionKey, reply: Reply) {
-        let mut connections = self.connections.borrow_mut();
+        let connections = self.connections.borrow();
         let Some(queue) = connections.get(connection) else {
             return;
         };
         let reply = QueuedReply::new(reply, &queue.budget);
-        let used_bytes = queue.budget.used_bytes();
-        let is_over = queue.budget.is_exceeded();
+        // Fails only if the writer has ended, because the connection is closed.
         let _ = queue.sender.send(reply);
-        if is_over {
-            log::warn!(
-                "event=connection_cut reason=unsent_replies used_bytes={used_bytes}"
-            );
-            connections.remove(connection);
-        }
     }
 
     /// Reads turns and passes them to the reducer.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -44,7 +44,7 @@
 };
 pub use rate::{QuotaPurpose, RateLimit, RateShare, RateTolerance};
 pub use record::{
-    ChargeView, LedgerRecord, ProgramKey, Reservation, Settlement, TurnDigest,
-    TurnRecord, turn_digest,
+    ChargeView, LedgerRecord, MAX_TURN_INPUT_BYTES, MAX_TURN_OUTPUT_BYTES, ProgramKey,
+    Reservation, Settlement, TurnDigest, TurnRecord, turn_digest,
 };
 pub use state::{CopyCursor, CopyPart, LedgerState};
--- a/crates/ledger/src/log.rs
+++ b/crates/ledger/src/log.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::record::{LedgerRecord, Reservation, Settlement, TurnRecord};
+use crate::record::{
+    LedgerRecord, MAX_TURN_INPUT_BYTES, MAX_TURN_OUTPUT_BYTES, Reservation, Settlement,
+    TurnRecord,
+};
 
 /// Size of the lengths and the checksums before each frame's head, in bytes.
 pub const FRAME_HEADER_BYTES: usize = 16;
@@ -21,10 +24,12 @@
 /// come from request headers, which are limited to a fraction of this.
 const MAX_HEAD_BYTES: u32 = 1 << 20;
 
-/// Largest body, in bytes. A header with a larger one is damaged. Larger than the request
-/// bodies and responses that an entry instance accepts together.
+/// Largest body, in bytes. A header with a larger one is damaged.
 const MAX_BODY_BYTES: u32 = 64 << 20;
 
+const _: () =
+    assert!(MAX_TURN_INPUT_BYTES + MAX_TURN_OUTPUT_BYTES <= MAX_BODY_BYTES as usize);
+
 /// Position of a frame in the log.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct FrameLocation {
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -144,6 +144,16 @@
     RenewTurns(Vec<TurnRenewal>),
 }
 
+impl MemberRequest {
+    /// Whether the reply contains turns, so that it may be long.
+    pub fn asks_for_turns(&self) -> bool {
+        matches!(
+            self,
+            MemberRequest::Chain { .. } | MemberRequest::CopyTurns(_)
+        )
+    }
+}
+
 /// A position in the sequence of endpoint changes that one storage instance serves.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndpointCursor {
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -6,6 +6,13 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+/// Largest input of a turn that is stored, in bytes. With the largest output it fits into each
+/// message, buffer and frame that a turn goes through.
+pub const MAX_TURN_INPUT_BYTES: usize = 8 << 20;
+
+/// Largest output of a turn that is stored, in bytes.
+pub const MAX_TURN_OUTPUT_BYTES: usize = 4 << 20;
+
 /// Identifies a program. Two customers may use the same program identifier.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ProgramKey {
