Let a joining member catch up without the members that lost a disk

Cause: both members copied from a quorum of the newest version, in a group of three from both others, and so waited for each other. The new member cannot have voted in that version, so it does not need their copy.

Ruled out: slow copies. The model, which runs the same transition functions without time, reaches a state from which no order of messages leads to a voting quorum by two events: ChangeGroup, LoseDisk.

Change: an instance records on its disk from which version of the group on its log has all its votes, proved by a read of the store since its disk was last empty. A member that has not voted copies from a quorum of the previous version only.

--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -415,7 +415,10 @@
     // The first read after a start must return the newest record: an instance that lost its
     // disk may have promised to vote in no older version. Later a stale read does no harm,
     // because an older group is ignored and a change that is based on it fails.
-    let allow_stale = process.node.borrow().has_voted() || process.has_read_group.get();
+    let allow_stale = process.has_read_group.get() || {
+        let node = process.node.borrow();
+        node.has_voted() && node.has_recorded_votes()
+    };
     let records = process
         .store
         .internal_records(GROUP_RECORD, allow_stale)
@@ -433,7 +436,10 @@
     if !group.is_valid() {
         return Err(MetadataError::Unreadable("group out of range".to_string()));
     }
-    process.apply(Event::GroupReceived(group.clone()));
+    process.apply(match allow_stale {
+        true => Event::GroupReceived(group.clone()),
+        false => Event::NewestGroupRead(group.clone()),
+    });
     process.has_read_group.set(true);
     let retiring = process.store.retirements().await?;
     let retiring: Vec<String> = retiring
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -52,6 +52,8 @@
     },
     /// A version of the group was read from the store or received from another instance.
     GroupReceived(Group),
+    /// This version of the group was the newest one at some time since the start of the instance.
+    NewestGroupRead(Group),
     /// One part of a member's records was copied.
     RecordsCopied {
         /// Name of the member.
@@ -231,6 +233,10 @@
         if is_empty && !is_first_start || recovered.is_damaged {
             rates.block_since(now_ms);
         }
+        if is_empty && is_first_start {
+            let record = LedgerRecord::VotesRecorded { from_version: 1 };
+            state.merge(now_ms, &record);
+        }
         let start = turn_digest(&format!("{name}/{now_ms}"));
         Node {
             is_first_start: is_first_start && is_empty,
@@ -295,6 +301,12 @@
         self.state.complete_version().is_some()
     }
 
+    /// Whether the log shows all votes of the instance in the versions of the group from some one
+    /// on.
+    pub fn has_recorded_votes(&self) -> bool {
+        self.state.votes().recorded_from.is_some()
+    }
+
     /// Members whose records are still to be copied. Empty unless the instance is catching up.
     pub fn copy_sources(&self) -> Vec<Member> {
         match &self.membership {
@@ -316,6 +328,7 @@
             }
             Event::TurnsRead { key, turns } => self.turns_read(now_ms, key, turns),
             Event::GroupReceived(group) => self.adopt_group(now_ms, group),
+            Event::NewestGroupRead(group) => self.read_newest_group(now_ms, group),
             Event::RecordsCopied {
                 source,
                 records,
@@ -465,6 +478,20 @@
         effects
     }
 
+    /// Switches to the newest group. If the disk may have been lost, it has been before later
+    /// versions existed, so it shows all votes in them.
+    fn read_newest_group(&mut self, now_ms: u64, group: Group) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if !self.has_recorded_votes() && group.is_valid() {
+            let from_version = group.version + 1;
+            let record = LedgerRecord::VotesRecorded { from_version };
+            self.state.merge(now_ms, &record);
+            effects.extend(self.append(&[record]));
+        }
+        effects.extend(self.adopt_group(now_ms, group));
+        effects
+    }
+
     /// Switches to a group if it is newer than the one known.
     pub(super) fn adopt_group(&mut self, now_ms: u64, group: Group) -> Vec<Effect> {
         if group.version <= self.group.version || !group.is_valid() {
@@ -489,8 +516,8 @@
     /// were no records before the first group.
     fn membership_in(&self, group: &Group) -> MembershipState {
         let is_founder = group.previous.is_empty() && self.is_first_start;
-        let complete_version = self.state.complete_version();
-        match MembershipState::for_new_group(group, &self.name, complete_version) {
+        let votes = self.state.votes();
+        match MembershipState::for_new_group(group, &self.name, votes) {
             MembershipState::CatchingUp(_) if is_founder => MembershipState::Voting,
             membership => membership,
         }
--- a/crates/gateway/src/storage/reads.rs
+++ b/crates/gateway/src/storage/reads.rs
@@ -221,7 +221,7 @@
         self.state.mark_incomplete();
         if self.is_voting() {
             self.membership =
-                MembershipState::CatchingUp(CatchUp::plan(&self.group, &self.name));
+                MembershipState::CatchingUp(CatchUp::plan(&self.group, &self.name, true));
         }
         log::error!(
             "event=records_lost turns={} group_version={}",
--- a/crates/gateway/tests/storage.rs
+++ b/crates/gateway/tests/storage.rs
@@ -254,3 +254,66 @@
     assert_eq!(take_quota(&mut node, 24_999, 1).0, 0);
     assert_eq!(take_quota(&mut node, 25_000, 1).0, 1);
 }
+
+/// The records that say what an instance knows about its votes.
+fn vote_records(effects: &[Effect]) -> Vec<LogEntry> {
+    let heads = effects.iter().flat_map(|effect| match effect {
+        Effect::Append { frames, .. } => decode_heads(frames),
+        _ => Vec::new(),
+    });
+    let is_about_votes = |head: &LogEntry| {
+        matches!(
+            head,
+            LogEntry::Complete { .. } | LogEntry::VotesRecorded { .. }
+        )
+    };
+    heads.filter(is_about_votes).collect()
+}
+
+// Guards against a spare that forgets with a restart that it has not voted in the group that it
+// joined: it would wait for a member that waits for it.
+#[test]
+fn spare_that_joins_knows_after_a_restart_that_it_has_not_voted() {
+    let mut spare = node("d", false, 0, &[]);
+    let effects = spare.apply(0, Event::NewestGroupRead(group()));
+    let recorded = LogEntry::VotesRecorded { from_version: 2 };
+    assert_eq!(vote_records(&effects), [recorded]);
+    let records = [LedgerRecord::VotesRecorded { from_version: 2 }];
+    let mut spare = node("d", false, 0, &records);
+    assert!(spare.has_recorded_votes());
+    let next = group().replace(Some("a"), Some(member("d")));
+    spare.apply(0, Event::GroupReceived(next));
+    for source in ["a", "b"] {
+        assert!(!spare.is_voting());
+        let copied = Event::RecordsCopied {
+            source: source.to_string(),
+            records: Vec::new(),
+            is_last: true,
+        };
+        spare.apply(1, copied);
+    }
+    assert!(spare.is_voting(), "c is not needed");
+}
+
+// Guards against a member that lost its disk and takes an old announcement for the newest group:
+// only a read of the store since its start proves in which versions it has not voted.
+#[test]
+fn announced_group_does_not_prove_that_a_member_has_not_voted() {
+    let mut member_with_lost_disk = node("d", false, 0, &[]);
+    member_with_lost_disk.apply(0, Event::GroupReceived(group()));
+    assert!(!member_with_lost_disk.has_recorded_votes());
+    let next = group().replace(Some("a"), Some(member("d")));
+    member_with_lost_disk.apply(0, Event::NewestGroupRead(next));
+    for source in ["a", "b"] {
+        let copied = Event::RecordsCopied {
+            source: source.to_string(),
+            records: Vec::new(),
+            is_last: true,
+        };
+        member_with_lost_disk.apply(1, copied);
+    }
+    assert!(
+        !member_with_lost_disk.is_voting(),
+        "it may have voted with c"
+    );
+}
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -151,16 +151,17 @@
 }
 
 impl MembershipState {
-    /// Returns the state of the instance `name` in a group that it has just received.
-    /// `complete_version` is the newest version for which it held all records.
+    /// Returns the state of the instance `name`, whose votes so far are `votes`, in a group that
+    /// it has just received.
     ///
     /// A member that was complete in the previous version is complete in this one too: what
     /// others have written since is held by a quorum without it.
     pub fn for_new_group(
         group: &Group,
         name: &str,
-        complete_version: Option<u64>,
+        votes: VoteHistory,
     ) -> MembershipState {
+        let complete_version = votes.complete_version;
         let was_member = group.previous.iter().any(|member| member.name == name);
         match group.contains(name) {
             false => MembershipState::Spare,
@@ -168,17 +169,43 @@
             true if was_member && complete_version == Some(group.version - 1) => {
                 MembershipState::Voting
             }
-            true => MembershipState::CatchingUp(CatchUp::plan(group, name)),
+            true => MembershipState::CatchingUp(CatchUp::plan(
+                group,
+                name,
+                votes.may_have_voted(group.version),
+            )),
         }
     }
 }
 
+/// What an instance knows about its own votes.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct VoteHistory {
+    /// Newest version of the group for which it held all records, and so could vote.
+    pub complete_version: Option<u64>,
+    /// All its votes in this version and later ones are recorded on its disk: the disk was last
+    /// lost, if ever, before this version existed. `None` if that is unknown.
+    pub recorded_from: Option<u64>,
+}
+
+impl VoteHistory {
+    /// Whether the instance may have voted in a version of the group, although its disk does not
+    /// show it.
+    pub fn may_have_voted(&self, version: u64) -> bool {
+        let is_recorded = self.recorded_from.is_some_and(|from| from <= version);
+        !is_recorded || self.complete_version >= Some(version)
+    }
+}
+
 /// Tracks what a member whose disk lacks records must copy before it votes.
 ///
-/// It copies all records of a quorum of the other members, because it may have voted in this
-/// version before its disk was lost. If it was not a member of the previous version, it also
-/// copies those of a quorum of that version. Any such quorum holds a copy of every earlier
-/// record.
+/// If it may have voted in this version before its disk was lost, it copies all records of a
+/// quorum of the other members. A member that has not voted in this version, or was not a member
+/// of the previous one, copies those of a quorum of the previous version. Any such quorum holds a
+/// copy of every earlier record.
+///
+/// A member that has just joined thus waits for no other one that catches up, so that two of them
+/// never wait for each other.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct CatchUp {
     sources: Vec<Member>,
@@ -205,11 +232,15 @@
 }
 
 impl CatchUp {
-    /// Plans the copies that the instance `name` needs.
-    pub fn plan(group: &Group, name: &str) -> CatchUp {
+    /// Plans the copies that the instance `name` needs. `may_have_voted` says whether it may have
+    /// voted in this version of the group.
+    pub fn plan(group: &Group, name: &str, may_have_voted: bool) -> CatchUp {
         let was_member = group.previous.iter().any(|member| member.name == name);
-        let mut requirements = vec![CopyRequirement::quorum_of(&group.members, name)];
-        if !was_member {
+        let mut requirements = Vec::new();
+        if may_have_voted {
+            requirements.push(CopyRequirement::quorum_of(&group.members, name));
+        }
+        if !may_have_voted || !was_member {
             requirements.push(CopyRequirement::quorum_of(&group.previous, name));
         }
         let mut sources: Vec<Member> = Vec::new();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -31,7 +31,7 @@
     EndpointLimit, EndpointLimits, LimitReport, SendGrant, limit_lifetime_ms,
 };
 pub use fingerprint::{Fingerprint, RequestFingerprints, RequestIdentity};
-pub use group::{CatchUp, Group, Member, MembershipState};
+pub use group::{CatchUp, Group, Member, MembershipState, VoteHistory};
 pub use legacy_log::read_legacy_record;
 pub use log::{
     BodyChecksum, FRAME_HEADER_BYTES, FrameHeader, FrameLocation, LogEntry, TurnHead,
--- a/crates/ledger/src/log.rs
+++ b/crates/ledger/src/log.rs
@@ -79,6 +79,11 @@
         /// Version of the group.
         group_version: u64,
     },
+    /// [`LedgerRecord::VotesRecorded`].
+    VotesRecorded {
+        /// The first version of the group.
+        from_version: u64,
+    },
 }
 
 impl LogEntry {
@@ -106,6 +111,9 @@
             LedgerRecord::Complete { group_version } => {
                 LogEntry::Complete { group_version }
             }
+            LedgerRecord::VotesRecorded { from_version } => {
+                LogEntry::VotesRecorded { from_version }
+            }
         }
     }
 }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -98,6 +98,12 @@
         /// Version of the group.
         group_version: u64,
     },
+    /// This log has all votes of its owner in this version of the group and later ones. Not
+    /// copied to other members.
+    VotesRecorded {
+        /// The first version of the group.
+        from_version: u64,
+    },
 }
 
 /// The charge of one turn, as a member reports it to a reader.
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::group::VoteHistory;
 use crate::log::{FrameLocation, LogEntry};
 use crate::message::TurnRenewal;
 use crate::record::{
@@ -114,8 +115,8 @@
     /// Keys of `turns` by insertion number.
     turns_by_sequence: BTreeMap<u64, TurnDigest>,
     next_sequence: u64,
-    /// Newest version of the group for which the records were complete.
-    complete_version: Option<u64>,
+    /// What is known about the votes of the instance.
+    votes: VoteHistory,
     /// Grants that this instance made, oldest first.
     grants: VecDeque<Grant>,
     /// Bytes of the frames of `programs` and `turns` in each segment. Segments without such
@@ -147,8 +148,15 @@
                 true
             }
             LedgerRecord::Complete { group_version } => {
-                let is_new = self.complete_version < Some(*group_version);
-                self.complete_version = self.complete_version.max(Some(*group_version));
+                let known = &mut self.votes.complete_version;
+                let is_new = *known < Some(*group_version);
+                *known = (*known).max(Some(*group_version));
+                is_new
+            }
+            LedgerRecord::VotesRecorded { from_version } => {
+                let known = &mut self.votes.recorded_from;
+                let is_new = *known < Some(*from_version);
+                *known = (*known).max(Some(*from_version));
                 is_new
             }
         }
@@ -174,7 +182,7 @@
                     .for_each(|grant| grant.segment = location.segment);
                 None
             }
-            LedgerRecord::Complete { .. } => None,
+            LedgerRecord::Complete { .. } | LedgerRecord::VotesRecorded { .. } => None,
         };
         let Some(known) = known else { return };
         let old = std::mem::replace(known, location);
@@ -242,6 +250,9 @@
             LogEntry::Complete { group_version } => {
                 LedgerRecord::Complete { group_version }
             }
+            LogEntry::VotesRecorded { from_version } => {
+                LedgerRecord::VotesRecorded { from_version }
+            }
         };
         let is_new = self.merge(now_ms, &record);
         // A reservation in the log after the settlement of the turn is a copy from another
@@ -281,12 +292,18 @@
     /// Newest version of the group for which the records were complete. `None` if the
     /// instance has never voted, according to its disk.
     pub fn complete_version(&self) -> Option<u64> {
-        self.complete_version
+        self.votes.complete_version
+    }
+
+    /// What is known about the votes of the instance.
+    pub fn votes(&self) -> VoteHistory {
+        self.votes
     }
 
-    /// Forgets that the records were ever complete, because some were found to be damaged.
+    /// Forgets that the records were ever complete, because some were found to be damaged. Votes
+    /// may be among them.
     pub fn mark_incomplete(&mut self) {
-        self.complete_version = None;
+        self.votes = VoteHistory::default();
     }
 
     fn program_charges(
@@ -495,8 +512,8 @@
             .collect()
     }
 
-    /// The records other than turns whose newest frames are in a segment. Includes the newest
-    /// complete version of the group, wherever its record is.
+    /// The records other than turns whose newest frames are in a segment. Includes what is known
+    /// about the votes of the instance, wherever the records of that are.
     pub fn small_records_in(&self, segment: u32) -> Vec<LedgerRecord> {
         let is_here = |charge: &&Charge| charge.location.segment == segment;
         let charges = self.programs.iter().flat_map(|(program, charges)| {
@@ -509,10 +526,14 @@
             customer: grant.customer.clone(),
             count: grant.count,
         });
-        let complete = self.complete_version.into_iter();
+        let complete = self.votes.complete_version.into_iter();
         let complete =
             complete.map(|group_version| LedgerRecord::Complete { group_version });
-        charges.chain(grants).chain(complete).collect()
+        let recorded = self.votes.recorded_from.into_iter();
+        let recorded =
+            recorded.map(|from_version| LedgerRecord::VotesRecorded { from_version });
+        let votes = complete.chain(recorded);
+        charges.chain(grants).chain(votes).collect()
     }
 
     /// Removes turns and charges whose retention time has passed.
--- a/crates/ledger/tests/group.rs
+++ b/crates/ledger/tests/group.rs
@@ -1,6 +1,6 @@
 //! Tests of the group's membership and of what a member copies before it votes.
 
-use jayreel_ledger::{CatchUp, Group, Member};
+use jayreel_ledger::{CatchUp, Group, Member, MembershipState, VoteHistory};
 
 /// A member in an availability zone of its own.
 fn member(name: &str) -> Member {
@@ -62,7 +62,7 @@
 fn member_that_lost_its_disk_after_joining_copies_from_present_members() {
     let first = Group::first(&members(&["a", "b", "d"]), 1);
     let group = first.replace(Some("a"), Some(member("c")));
-    let mut catch_up = CatchUp::plan(&group, "c");
+    let mut catch_up = CatchUp::plan(&group, "c", true);
     catch_up.mark_copied("a");
     catch_up.mark_copied("b");
     assert!(
@@ -77,7 +77,7 @@
 fn new_member_copies_from_a_quorum_of_the_previous_version() {
     let first = Group::first(&members(&["a", "b", "d"]), 1);
     let group = first.replace(Some("a"), Some(member("c")));
-    let mut catch_up = CatchUp::plan(&group, "c");
+    let mut catch_up = CatchUp::plan(&group, "c", false);
     let missing: Vec<String> = catch_up.missing().into_iter().map(|m| m.name).collect();
     assert_eq!(missing, ["b", "d", "a"]);
     catch_up.mark_copied("b");
@@ -85,3 +85,50 @@
     catch_up.mark_copied("d");
     assert!(catch_up.is_complete());
 }
+
+/// The plan of an instance that is a member of `group` but does not hold all its records.
+fn plan_of(group: &Group, name: &str, votes: VoteHistory) -> CatchUp {
+    match MembershipState::for_new_group(group, name, votes) {
+        MembershipState::CatchingUp(plan) => plan,
+        state => panic!("{state:?}"),
+    }
+}
+
+// Guards against two members that wait for each other for good: one that has just joined, and one
+// that loses its disk before the other has copied all records.
+#[test]
+fn new_member_does_not_wait_for_one_that_lost_its_disk() {
+    let first = Group::first(&members(&["a", "b", "c"]), 1);
+    let group = first.replace(Some("a"), Some(member("d")));
+    let joined = VoteHistory {
+        complete_version: None,
+        recorded_from: Some(1),
+    };
+    let mut joining = plan_of(&group, "d", joined);
+    joining.mark_copied("a");
+    joining.mark_copied("b");
+    assert!(joining.is_complete(), "without c, which lost its disk");
+    let lost = VoteHistory {
+        complete_version: None,
+        recorded_from: Some(3),
+    };
+    let mut recovering = plan_of(&group, "c", lost);
+    recovering.mark_copied("b");
+    assert!(!recovering.is_complete(), "it may have voted with d");
+    recovering.mark_copied("d");
+    assert!(recovering.is_complete());
+}
+
+// Guards against a member that takes itself for new although it may have voted: its disk was lost
+// after the group had this version.
+#[test]
+fn member_that_lost_its_disk_may_have_voted() {
+    let lost_in_version_2 = VoteHistory {
+        complete_version: None,
+        recorded_from: Some(3),
+    };
+    assert!(lost_in_version_2.may_have_voted(1));
+    assert!(lost_in_version_2.may_have_voted(2));
+    assert!(!lost_in_version_2.may_have_voted(3));
+    assert!(VoteHistory::default().may_have_voted(3));
+}
--- a/crates/spec/src/ledger.rs
+++ b/crates/spec/src/ledger.rs
@@ -9,7 +9,8 @@
 use std::sync::LazyLock;
 
 use jayreel_ledger::{
-    BudgetCheck, ChargeView, Decision, Group, Member, MembershipState, Phase, turn_digest,
+    BudgetCheck, ChargeView, Decision, Group, Member, MembershipState, Phase,
+    VoteHistory, turn_digest,
 };
 
 use crate::quota_search::Model;
@@ -50,6 +51,9 @@
     pub responses_may_be_lost: bool,
     /// Whether the spare may replace the first member.
     pub group_may_change: bool,
+    /// Whether a state from which no order of messages leads to a voting quorum is a violation.
+    /// The losses must be within the tolerance of the group.
+    pub requires_progress: bool,
     /// The rule to break, if any.
     pub fault: Option<Fault>,
 }
@@ -60,8 +64,8 @@
     charged_turns: BTreeSet<u8>,
     /// Newest version of the group that the instance knows.
     version: u64,
-    /// Newest group version for which the charges on this disk were complete.
-    complete_version: Option<u64>,
+    /// What the disk shows about its votes.
+    votes: VoteHistory,
     membership: MembershipState,
 }
 
@@ -178,7 +182,10 @@
         let instance = |index: usize| Instance {
             charged_turns: BTreeSet::new(),
             version: 1,
-            complete_version: group(1).contains(&name(index)).then_some(1),
+            votes: VoteHistory {
+                complete_version: group(1).contains(&name(index)).then_some(1),
+                recorded_from: Some(1),
+            },
             membership: match group(1).contains(&name(index)) {
                 true => MembershipState::Voting,
                 false => MembershipState::Spare,
@@ -267,17 +274,14 @@
             return;
         }
         instance.version = version;
-        let learned = MembershipState::for_new_group(
-            group(version),
-            &name(at),
-            instance.complete_version,
-        );
+        let learned =
+            MembershipState::for_new_group(group(version), &name(at), instance.votes);
         instance.membership = match learned {
             MembershipState::CatchingUp(_) if votes_at_once => MembershipState::Voting,
             membership => membership,
         };
         if instance.membership == MembershipState::Voting {
-            instance.complete_version = Some(version);
+            instance.votes.complete_version = Some(version);
         }
     }
 
@@ -289,7 +293,7 @@
             self.learn_group(to, source.version);
             return;
         }
-        let complete_version = source.complete_version;
+        let complete_version = source.votes.complete_version;
         if complete_version.is_none_or(|complete| complete + 1 < source.version) {
             return;
         }
@@ -299,7 +303,7 @@
             progress.mark_copied(&name(from));
             if progress.is_complete() {
                 instance.membership = MembershipState::Voting;
-                instance.complete_version = Some(version);
+                instance.votes.complete_version = Some(version);
             }
         }
     }
@@ -309,11 +313,41 @@
         let read = if is_stale { 1 } else { self.version };
         let instance = &mut self.instances[at];
         instance.charged_turns.clear();
-        instance.complete_version = None;
+        instance.votes = VoteHistory {
+            complete_version: None,
+            recorded_from: Some(read + 1),
+        };
         instance.version = 0;
         self.learn_group(at, read);
     }
 
+    /// Whether a quorum of the newest group votes once all instances have read the group and copied
+    /// whatever they can. These steps never prevent each other, so their order does not matter.
+    fn leads_to_quorum(&self) -> bool {
+        let mut world = self.clone();
+        loop {
+            let before = world.clone();
+            for at in 0..INSTANCES {
+                world.learn_group(at, world.version);
+                let missing = match &world.instances[at].membership {
+                    MembershipState::CatchingUp(progress) => progress.missing(),
+                    MembershipState::Spare | MembershipState::Voting => Vec::new(),
+                };
+                for source in missing.iter().map(index) {
+                    world.copy(at, source);
+                }
+            }
+            if world == before {
+                break;
+            }
+        }
+        let newest = group(world.version);
+        let members = newest.members.iter().map(index);
+        let voting = members
+            .filter(|at| world.instances[*at].membership == MembershipState::Voting);
+        voting.count() >= newest.quorum()
+    }
+
     /// Whether a member may copy charges: only after all turns that it responded to before are
     /// decided or were restarted.
     fn may_copy_charges(&self, at: usize) -> bool {
@@ -370,7 +404,7 @@
                 let copy = |from| Event::Copy { to: at, from };
                 events.extend(sources.iter().map(index).map(copy));
             }
-            if self.disk_losses_left > 0 && instance.complete_version.is_some() {
+            if self.disk_losses_left > 0 && instance.votes.complete_version.is_some() {
                 events.push(Event::LoseDisk {
                     at,
                     is_stale: false,
@@ -406,6 +440,9 @@
     }
 
     fn violation(&self) -> Option<String> {
+        if self.scope.requires_progress && !self.leads_to_quorum() {
+            return Some("no order of messages leads to a voting quorum".to_string());
+        }
         let admitted = self.coordinators.iter();
         let admitted = admitted
             .filter(|d| d.progress == Progress::Admitted)
--- a/crates/spec/tests/ledger.rs
+++ b/crates/spec/tests/ledger.rs
@@ -11,6 +11,7 @@
     disk_losses: 0,
     responses_may_be_lost: true,
     group_may_change: false,
+    requires_progress: false,
     fault: None,
 };
 const LOST_DISK: Scope = Scope {
@@ -41,6 +42,20 @@
     assert!(outcome.states > 1_000, "{} states", outcome.states);
 }
 
+// Guards against members that wait for each other: a member that joins and one that loses its disk
+// meanwhile must both vote again, whatever the order of the messages.
+#[test]
+fn members_that_catch_up_do_not_wait_for_each_other() {
+    let scope = Scope {
+        turns: 1,
+        requires_progress: true,
+        ..CHANGED_GROUP_AND_LOST_DISK
+    };
+    let outcome = search("members that catch up", World::new(scope));
+    assert!(outcome.violation.is_none(), "{:?}", outcome.violation);
+    assert!(outcome.states > 1_000, "{} states", outcome.states);
+}
+
 /// The combination of a group change, a lost disk and lost responses. Run by hand, since it
 /// takes minutes.
 #[test]
