Copy from a member that leaves until it has handed over its records

Cause: the member with the lost disk copied from a quorum of the others in the new version, of two members one, and voted. Records whose copies were on the lost disk and on the leaving instance were on neither of the two, which then took it for proved that they did not exist. Budgets are concerned too.

Ruled out: turns that were never stored or lost by the leaving instance, since they are served after its hand-over.

Change: a group that became smaller is not settled. Until it is, a member that lacks records copies from a quorum of the previous version too. The hand-over ends with a new version with the same members, which needs nobody else. No other change is proposed meanwhile, for 20 s at most.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 pub use freshness::Freshness;
 pub use link::{LinkError, MemberClient, ResponseFuture};
 pub use log_queue::{LineBudget, LogQueue, MAX_QUEUED_LINES, batch_lines};
+pub use membership::{MemberMonitor, Proposal};
 pub use presence::{PRESENCE_INTERVAL_MS, PresenceTracker, is_majority_absent};
 pub use protocol::{
     BadRequest, CallHead, CallProtocol, EndpointHeaders, EndpointResponseHead, Load,
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -33,9 +33,14 @@
 /// milliseconds.
 const SPARE_WAIT_MS: u64 = 2_500;
 
+/// Time for which a group that is not settled stays as it is, in milliseconds, so that the member
+/// that left can hand over its records. Longer than that takes with full disks; the member may
+/// also fail meanwhile.
+const SETTLE_WAIT_MS: u64 = 20_000;
+
 /// A change of the group that an instance proposes for itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum Proposal {
+pub enum Proposal {
     /// The instance joins, as a replacement or as an additional member.
     Join {
         /// Name of the member to replace, if any.
@@ -47,17 +52,19 @@
 
 /// What one instance observed about the members, as the basis for its proposals.
 #[derive(Debug, Default)]
-pub(crate) struct MemberMonitor {
+pub struct MemberMonitor {
     /// When a member's consecutive requests without a response began, by its name. No entry for
     /// members that responded last time.
     silent_since_ms: HashMap<String, u64>,
     /// Since when this instance is a member that is being retired.
     retiring_since_ms: Option<u64>,
+    /// The version of the group that is not settled, and when it was first seen.
+    unsettled: Option<(u64, u64)>,
 }
 
 impl MemberMonitor {
     /// Records whether a member responded to a status request.
-    pub(crate) fn record_status(&mut self, now_ms: u64, name: &str, has_responded: bool) {
+    pub fn record_status(&mut self, now_ms: u64, name: &str, has_responded: bool) {
         match has_responded {
             true => {
                 self.silent_since_ms.remove(name);
@@ -74,7 +81,7 @@
     ///
     /// `voting` is the number of members that vote. Without a quorum of them the group must not
     /// change, since the members of the next group copy their records from a quorum of this one.
-    pub(crate) fn propose(
+    pub fn propose(
         &mut self,
         now_ms: u64,
         group: &Group,
@@ -90,7 +97,7 @@
             }
             false => self.retiring_since_ms = None,
         }
-        if voting < group.quorum() {
+        if voting < group.quorum() || self.waits_until_settled(now_ms, group) {
             return None;
         }
         match (is_member, is_retiring) {
@@ -104,6 +111,20 @@
         }
     }
 
+    /// Whether the group must not change yet, because a member that left may not have handed over
+    /// its records.
+    fn waits_until_settled(&mut self, now_ms: u64, group: &Group) -> bool {
+        let seen = self
+            .unsettled
+            .filter(|(version, _)| *version == group.version);
+        self.unsettled = match group.is_settled() {
+            true => None,
+            false => Some(seen.unwrap_or((group.version, now_ms))),
+        };
+        let mut since_ms = self.unsettled.iter().map(|(_, since_ms)| *since_ms);
+        since_ms.any(|since_ms| now_ms < since_ms + SETTLE_WAIT_MS)
+    }
+
     /// The proposal of a spare. A member being retired is replaced before a silent one.
     fn propose_join(
         &self,
--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -459,9 +459,11 @@
             .propose(now_ms(), &group, &own_member, &retiring, voting);
     match proposal {
         Some(proposal) => {
-            change_group(process, &group, record.revision, proposal).await?
+            propose_group(process, &group, record.revision, proposal).await?
+        }
+        None if is_retiring => {
+            retire(process, &group, record.revision, voting, reported).await?
         }
-        None if is_retiring => retire(process, &group, voting, reported).await?,
         None => {}
     }
     Ok(())
@@ -553,10 +555,8 @@
     voting
 }
 
-/// Writes the next version of the group, if the one at `revision` is still the newest, and
-/// announces it to the members of both versions. Instances that miss the announcement read the
-/// record later.
-async fn change_group(
+/// Changes the group as proposed, if the version at `revision` is still the newest.
+async fn propose_group(
     process: &Rc<StorageProcess>,
     group: &Group,
     revision: u64,
@@ -572,6 +572,18 @@
         "event=group_proposed version={} change={proposal:?}",
         next.version
     );
+    change_group(process, next, revision).await
+}
+
+/// Writes the next version of the group, if the one at `revision` is still the newest, and
+/// announces it to the members of both versions. Instances that miss the announcement read the
+/// record later.
+async fn change_group(
+    process: &Rc<StorageProcess>,
+    next: Group,
+    revision: u64,
+) -> Result<(), MetadataError> {
+    let own_name = &process.settings.name;
     match write_group(process, &next, revision).await {
         Ok(()) => {}
         Err(MetadataError::Conflict) => return Ok(()),
@@ -596,11 +608,12 @@
 }
 
 /// Advances the retirement of this instance. Reports that it is in progress, and that it is
-/// completed once the instance has left the group, all members vote and none of them lacks a
-/// record. `reported` is the state that was last reported to the store.
+/// completed once the instance has left the group, all members vote and the group is settled.
+/// `revision` is that of `group`, and `reported` the state that was last reported to the store.
 async fn retire(
     process: &Rc<StorageProcess>,
     group: &Group,
+    revision: u64,
     voting: usize,
     reported: &mut Option<RetirementState>,
 ) -> Result<(), MetadataError> {
@@ -616,8 +629,11 @@
     if group.contains(&name) || is_completed || voting < group.members.len() {
         return Ok(());
     }
-    if !hand_over(process, group).await {
-        return Ok(());
+    if !group.is_settled() {
+        return match hand_over(process, group).await {
+            true => change_group(process, group.settle(), revision).await,
+            false => Ok(()),
+        };
     }
     store
         .report_retirement(name, RetirementState::Completed)
@@ -632,9 +648,6 @@
 /// Needed only if the group became smaller, because some records may have a copy only here. A
 /// member that took the place of this one has copied all records already.
 async fn hand_over(process: &StorageProcess, group: &Group) -> bool {
-    if group.members.len() >= group.previous.len() {
-        return true;
-    }
     let mut cursor = Some(CopyCursor::START);
     while let Some(next) = cursor {
         let part = process.node.borrow().copy_part(&next);
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -78,6 +78,18 @@
         }
     }
 
+    /// Returns the next version, with the same members: the one that left without a replacement has
+    /// handed over its records.
+    pub fn settle(&self) -> Group {
+        self.replace(None, None)
+    }
+
+    /// Whether the members hold all records together. False from the time when a member leaves
+    /// without a replacement until it has handed over its records.
+    pub fn is_settled(&self) -> bool {
+        self.members.len() >= self.previous.len()
+    }
+
     /// Whether the values are in the range that instances write: further versions can follow, and
     /// there are members without duplicates.
     pub fn is_valid(&self) -> bool {
@@ -201,8 +213,8 @@
 ///
 /// If it may have voted in this version before its disk was lost, it copies all records of a
 /// quorum of the other members. A member that has not voted in this version, or was not a member
-/// of the previous one, copies those of a quorum of the previous version. Any such quorum holds a
-/// copy of every earlier record.
+/// of the previous one, copies those of a quorum of the previous version. So does any member while
+/// the group is not settled. Any such quorum holds a copy of every earlier record.
 ///
 /// A member that has just joined thus waits for no other one that catches up, so that two of them
 /// never wait for each other.
@@ -240,7 +252,7 @@
         if may_have_voted {
             requirements.push(CopyRequirement::quorum_of(&group.members, name));
         }
-        if !may_have_voted || !was_member {
+        if !may_have_voted || !was_member || !group.is_settled() {
             requirements.push(CopyRequirement::quorum_of(&group.previous, name));
         }
         let mut sources: Vec<Member> = Vec::new();
--- a/crates/ledger/tests/group.rs
+++ b/crates/ledger/tests/group.rs
@@ -132,3 +132,41 @@
     assert!(!lost_in_version_2.may_have_voted(3));
     assert!(VoteHistory::default().may_have_voted(3));
 }
+
+// Guards against a member that votes while the one that leaves still has records of which the
+// other copies were on the lost disk.
+#[test]
+fn member_that_lost_its_disk_copies_from_one_that_leaves() {
+    let first = Group::first(&members(&["a", "b", "c"]), 1);
+    let group = first.replace(Some("a"), None);
+    assert!(!group.is_settled());
+    let lost = VoteHistory {
+        complete_version: None,
+        recorded_from: Some(3),
+    };
+    let mut catch_up = plan_of(&group, "c", lost);
+    catch_up.mark_copied("b");
+    assert!(
+        !catch_up.is_complete(),
+        "a record may have copies on a and c only"
+    );
+    catch_up.mark_copied("a");
+    assert!(catch_up.is_complete());
+}
+
+// Guards against a member that waits for one that left for good: once that one has handed over its
+// records, they are not needed from it.
+#[test]
+fn settled_group_does_not_need_the_member_that_left() {
+    let first = Group::first(&members(&["a", "b", "c"]), 1);
+    let group = first.replace(Some("a"), None).settle();
+    assert!(group.is_settled());
+    assert!(!group.contains("a"));
+    let lost = VoteHistory {
+        complete_version: None,
+        recorded_from: Some(4),
+    };
+    let mut catch_up = plan_of(&group, "c", lost);
+    catch_up.mark_copied("b");
+    assert!(catch_up.is_complete());
+}
--- a/crates/spec/src/ledger.rs
+++ b/crates/spec/src/ledger.rs
@@ -38,6 +38,15 @@
     NoCopyDelay,
 }
 
+/// A change of the group.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum GroupChange {
+    /// The spare takes the place of the first member.
+    Replace,
+    /// The first member leaves, and two are left.
+    Leave,
+}
+
 /// Bounds of a search.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Scope {
@@ -49,8 +58,8 @@
     pub disk_losses: u8,
     /// Whether the responses of members may be lost.
     pub responses_may_be_lost: bool,
-    /// Whether the spare may replace the first member.
-    pub group_may_change: bool,
+    /// How the group changes, if it does.
+    pub change: Option<GroupChange>,
     /// Whether a state from which no order of messages leads to a voting quorum is a violation.
     /// The losses must be within the tolerance of the group.
     pub requires_progress: bool,
@@ -155,16 +164,19 @@
         .unwrap_or(INSTANCES)
 }
 
-/// The two versions of the group: the initial one, and the one in which the spare has
-/// replaced the first member.
-static GROUPS: LazyLock<[Group; 2]> = LazyLock::new(|| {
+/// The initial version of the group.
+static FIRST: LazyLock<Group> = LazyLock::new(|| {
     let members: Vec<Member> = (0..INSTANCES - 1).map(member).collect();
-    let first = Group::first(&members, 1);
-    let joining = member(INSTANCES - 1);
-    let second = first.replace(Some(&name(0)), Some(joining));
-    [first, second]
+    Group::first(&members, 1)
 });
 
+/// The version in which the spare has replaced the first member.
+static REPLACED: LazyLock<Group> =
+    LazyLock::new(|| FIRST.replace(Some(&name(0)), Some(member(INSTANCES - 1))));
+
+/// The version in which the first member has left.
+static REDUCED: LazyLock<Group> = LazyLock::new(|| FIRST.replace(Some(&name(0)), None));
+
 /// Digests of the turn identifiers, by the number of the turn.
 static DIGESTS: LazyLock<Vec<u64>> = LazyLock::new(|| {
     (0..4)
@@ -172,8 +184,14 @@
         .collect()
 });
 
-fn group(version: u64) -> &'static Group {
-    &GROUPS[usize::from(version > 1)]
+impl Scope {
+    fn group(&self, version: u64) -> &'static Group {
+        match self.change {
+            Some(GroupChange::Replace) if version > 1 => &REPLACED,
+            Some(GroupChange::Leave) if version > 1 => &REDUCED,
+            _ => &FIRST,
+        }
+    }
 }
 
 impl World {
@@ -183,10 +201,10 @@
             charged_turns: BTreeSet::new(),
             version: 1,
             votes: VoteHistory {
-                complete_version: group(1).contains(&name(index)).then_some(1),
+                complete_version: FIRST.contains(&name(index)).then_some(1),
                 recorded_from: Some(1),
             },
-            membership: match group(1).contains(&name(index)) {
+            membership: match FIRST.contains(&name(index)) {
                 true => MembershipState::Voting,
                 false => MembershipState::Spare,
             },
@@ -232,7 +250,7 @@
         }
         coordinator.reported_turns.extend(&instance.charged_turns);
         coordinator.responded.insert(at);
-        if coordinator.responded.len() >= group(coordinator.version).quorum() {
+        if coordinator.responded.len() >= self.scope.group(coordinator.version).quorum() {
             self.decide(turn);
         }
     }
@@ -274,8 +292,11 @@
             return;
         }
         instance.version = version;
-        let learned =
-            MembershipState::for_new_group(group(version), &name(at), instance.votes);
+        let learned = MembershipState::for_new_group(
+            self.scope.group(version),
+            &name(at),
+            instance.votes,
+        );
         instance.membership = match learned {
             MembershipState::CatchingUp(_) if votes_at_once => MembershipState::Voting,
             membership => membership,
@@ -341,7 +362,7 @@
                 break;
             }
         }
-        let newest = group(world.version);
+        let newest = self.scope.group(world.version);
         let members = newest.members.iter().map(index);
         let voting = members
             .filter(|at| world.instances[*at].membership == MembershipState::Voting);
@@ -375,7 +396,13 @@
             if !coordinator.is_undecided() {
                 continue;
             }
-            for at in group(coordinator.version).members.iter().map(index) {
+            for at in self
+                .scope
+                .group(coordinator.version)
+                .members
+                .iter()
+                .map(index)
+            {
                 if coordinator.responded.contains(&at) {
                     continue;
                 }
@@ -390,7 +417,7 @@
                 events.push(Event::Restart(turn));
             }
         }
-        if self.scope.group_may_change && self.version == 1 {
+        if self.scope.change.is_some() && self.version == 1 {
             events.push(Event::ChangeGroup);
         }
         for (at, instance) in self.instances.iter().enumerate() {
--- a/crates/spec/tests/ledger.rs
+++ b/crates/spec/tests/ledger.rs
@@ -1,7 +1,7 @@
 //! Exhaustive searches of the budget ledger: no turns are admitted beyond the budget, and
 //! each seeded fault leads to a violation.
 
-use jayreel_spec::ledger::{Fault, Scope, World};
+use jayreel_spec::ledger::{Fault, GroupChange, Scope, World};
 use jayreel_spec::quota_search::search;
 use test_case::test_case;
 
@@ -10,7 +10,7 @@
     budget_tokens: 2,
     disk_losses: 0,
     responses_may_be_lost: true,
-    group_may_change: false,
+    change: None,
     requires_progress: false,
     fault: None,
 };
@@ -23,7 +23,7 @@
 const CHANGED_GROUP: Scope = Scope {
     turns: 2,
     budget_tokens: 1,
-    group_may_change: true,
+    change: Some(GroupChange::Replace),
     ..BASE
 };
 const CHANGED_GROUP_AND_LOST_DISK: Scope = Scope {
@@ -31,11 +31,16 @@
     responses_may_be_lost: false,
     ..CHANGED_GROUP
 };
+const REDUCED_GROUP_AND_LOST_DISK: Scope = Scope {
+    change: Some(GroupChange::Leave),
+    ..CHANGED_GROUP_AND_LOST_DISK
+};
 
 #[test_case("three turns at once", BASE)]
 #[test_case("a disk is lost", LOST_DISK)]
 #[test_case("the group changes", CHANGED_GROUP)]
 #[test_case("the group changes and a disk is lost", CHANGED_GROUP_AND_LOST_DISK)]
+#[test_case("a member leaves and a disk is lost", REDUCED_GROUP_AND_LOST_DISK)]
 fn budget_is_not_exceeded(name: &str, scope: Scope) {
     let outcome = search(name, World::new(scope));
     assert!(outcome.violation.is_none(), "{:?}", outcome.violation);
@@ -44,10 +49,12 @@
 
 // Guards against members that wait for each other: a member that joins and one that loses its disk
 // meanwhile must both vote again, whatever the order of the messages.
-#[test]
-fn members_that_catch_up_do_not_wait_for_each_other() {
+#[test_case(GroupChange::Replace)]
+#[test_case(GroupChange::Leave)]
+fn members_that_catch_up_do_not_wait_for_each_other(change: GroupChange) {
     let scope = Scope {
         turns: 1,
+        change: Some(change),
         requires_progress: true,
         ..CHANGED_GROUP_AND_LOST_DISK
     };
