Answer all requests before a planned stop of an entry instance ends

Cause: the shutdown waited for connections until its time was over and ended the process. Requests were passed on with their own deadlines, whatever time was left.

Ruled out: connections closed with requests unread. The requests had reached the endpoint.

Change: a request is refused as not run before it is sent if its route's requests take longer than the time left. What has been sent gets 504 with an unknown outcome while there is time to write it. What has not been sent by then gets 503.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -28,6 +28,7 @@
 };
 use crate::edge::members::{ChainLookup, STORAGE_FULL_PAUSE_MS};
 use crate::edge::refusal::Refusal;
+use crate::edge::shutdown::Shutdown;
 use crate::edge::stream::{self, BudgetReservation, StreamCall};
 use crate::edge::{DisconnectLogger, Edge, RequestLogFields};
 use crate::protocol::CallHead;
@@ -52,6 +53,9 @@
 /// after an endpoint has failed.
 pub(crate) const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 250;
 
+/// Retry-After while this instance shuts down, in milliseconds. Other instances serve.
+const STOPPING_RETRY_AFTER_MS: u64 = 10;
+
 /// Turns are kept for this much longer than the route's retention, in milliseconds: clocks
 /// differ between machines, and renewals are sent in batches.
 const RETENTION_MARGIN_MS: u64 = 60_000;
@@ -87,15 +91,19 @@
     pub token: Option<BufferedToken>,
     /// Model tokens that each event of the response stands for; charged to the budget.
     pub event_tokens: u32,
-    /// The endpoint to which it was last sent, for the log line if the caller disconnects.
+    /// The endpoint to which it was last sent. `None` before the first send.
     pub endpoint: Rc<RefCell<Option<String>>>,
+    /// Limits the time further once the instance shuts down.
+    pub shutdown: Rc<Shutdown>,
 }
 
 impl AdmittedCall {
-    /// 0 once the time limit has passed.
+    /// 0 once the time limit has passed, or responses are due because the instance shuts down.
     pub(crate) fn time_left_ms(&self) -> u64 {
         let elapsed_ms = now_ms().saturating_sub(self.arrived_ms);
-        self.timeout_ms.saturating_sub(elapsed_ms)
+        let time_left_ms = self.timeout_ms.saturating_sub(elapsed_ms);
+        let until_shutdown_ms = self.shutdown.time_left_ms();
+        until_shutdown_ms.map_or(time_left_ms, |left_ms| left_ms.min(time_left_ms))
     }
 
     pub(crate) fn send_timeouts(&self, attempt: &Attempt) -> SendTimeouts {
@@ -147,7 +155,12 @@
         endpoint: Rc::clone(&endpoint),
         is_disarmed: false,
     };
-    let result = admit_and_run(&edge, call, &parts, body, arrived_ms, endpoint).await;
+    let sent_to = Rc::clone(&endpoint);
+    let result = tokio::select! {
+        biased;
+        result = admit_and_run(&edge, call, &parts, body, arrived_ms, endpoint) => result,
+        () = edge.shutdown.wait_until_due() => Err(shutdown_refusal(sent_to.borrow().is_some())),
+    };
     let response = result.unwrap_or_else(|refusal| {
         edge.log_refusal(&disconnect_logger.request, &refusal);
         refusal.response()
@@ -156,6 +169,33 @@
     response
 }
 
+/// The response to a request that cannot end before the instance does.
+fn shutdown_refusal(may_have_run: bool) -> Refusal {
+    match may_have_run {
+        true => Refusal::outcome_unknown(StatusCode::GATEWAY_TIMEOUT, "stopping"),
+        false => Refusal::retry_later("stopping", STOPPING_RETRY_AFTER_MS),
+    }
+}
+
+/// Refuses a request that would not end before the instance does, as far as others of its route
+/// tell. Without any, it may need all its time.
+fn check_shutdown(
+    edge: &Edge,
+    route: &Route,
+    arrived_ms: u64,
+    timeout_ms: u64,
+) -> Result<(), Refusal> {
+    let Some(left_ms) = edge.shutdown.time_left_ms() else {
+        return Ok(());
+    };
+    let longest_ms = timeout_ms.saturating_sub(now_ms().saturating_sub(arrived_ms));
+    let expected_ms = edge.durations.borrow().expected_ms(&route.name);
+    match expected_ms.unwrap_or(longest_ms).min(longest_ms) <= left_ms {
+        true => Ok(()),
+        false => Err(shutdown_refusal(false)),
+    }
+}
+
 async fn admit_and_run(
     edge: &Rc<Edge>,
     call: CallHead,
@@ -185,6 +225,7 @@
     let route = find_route(edge, &configuration, &call, parts)?.clone();
     let customer = find_customer(edge, &configuration, &route, &call, arrived_ms)?;
     let timeout_ms = call.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    check_shutdown(edge, &route, arrived_ms, timeout_ms)?;
     let service = choose_service(&route);
     check_endpoints(edge, &service)?;
     check_group(edge, &route, &call, customer.is_some())?;
@@ -232,6 +273,7 @@
         token,
         event_tokens: engine.map_or(1, |engine| engine.event_tokens),
         endpoint: Rc::default(),
+        shutdown: Rc::clone(&edge.shutdown),
     })
 }
 
@@ -272,6 +314,7 @@
                     );
                     if !is_failure || !may_try_another(admitted, attempt) {
                         edge.record_response(admitted, &pick, complete.status());
+                        edge.record_duration(admitted, now_ms() - sent_ms);
                         edge.clear_suspicion(&admitted.outgoing.fingerprints);
                         return Ok(complete);
                     }
@@ -337,6 +380,14 @@
     attempt: &Attempt,
     tried: &[String],
 ) -> Result<Pick, Refusal> {
+    if !attempt.may_have_run {
+        check_shutdown(
+            edge,
+            &admitted.route,
+            admitted.arrived_ms,
+            admitted.timeout_ms,
+        )?;
+    }
     if admitted.time_left_ms() < MIN_SEND_TIME_MS {
         return Err(match attempt.may_have_run {
             true => Refusal::outcome_unknown(StatusCode::GATEWAY_TIMEOUT, "timed_out"),
--- a/crates/gateway/src/edge/listen.rs
+++ b/crates/gateway/src/edge/listen.rs
@@ -47,8 +47,8 @@
 const DRAIN_POLL_MS: u64 = 50;
 
 /// Runs an entry instance until SIGTERM or SIGINT, then shuts it down gracefully: readiness checks
-/// fail, connections close after their current request, and those still open when the time is
-/// over are cut off.
+/// fail, connections close after their current request, and requests get a response before the
+/// time is over (see [`crate::edge::shutdown`]).
 ///
 /// # Errors
 ///
@@ -82,15 +82,15 @@
     wait_for_shutdown_signal().await?;
     let began_ms = now_ms();
     log::info!("event=stopping calls={}", edge.metrics.open_calls());
-    edge.is_stopping.set(true);
+    let close_ms = began_ms + stop_ms.saturating_sub(EXIT_RESERVE_MS);
+    edge.shutdown.begin(close_ms);
     // Fails only if no connection is open.
     let _ = stopping.send(Stage::Draining);
     pause(ACCEPT_AFTER_STOP_MS).await;
     let _ = stopping.send(Stage::Closing);
     // Fails only if the task has panicked.
     let _ = accept_task.await;
-    let drain_until_ms = began_ms + stop_ms.saturating_sub(EXIT_RESERVE_MS);
-    while edge.metrics.open_connections() > 0 && now_ms() < drain_until_ms {
+    while edge.metrics.open_connections() > 0 && now_ms() < close_ms {
         pause(DRAIN_POLL_MS).await;
     }
     log::info!("event=stopped calls={}", edge.metrics.open_calls());
@@ -206,7 +206,7 @@
             // Without contact with the group for this long, the load balancer sends new
             // connections to other instances, so the caller should open one.
             let is_lost = edge.members.contact().is_out_of_rotation(now_ms());
-            if is_lost || edge.is_stopping.get() {
+            if is_lost || edge.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod quota;
 mod refusal;
+mod shutdown;
 mod stream;
 mod sync;
 
@@ -30,12 +31,14 @@
 use crate::clock::now_ms;
 use crate::config::Configuration;
 use crate::directory::MetadataStore;
+use crate::durations::Durations;
 use crate::edge::call::AdmittedCall;
 use crate::edge::collect::BodyMemory;
 use crate::edge::crashes::LostRequests;
 use crate::edge::exchange::OutgoingRequest;
 use crate::edge::pool::Pool;
 use crate::edge::refusal::Refusal;
+use crate::edge::shutdown::Shutdown;
 use crate::freshness::Freshness;
 use crate::link::LinkPool;
 use crate::log_fields::OrNone;
@@ -97,8 +100,10 @@
     /// Fewer than half of the entry instances of the zone have contact with its member. The load
     /// balancer should then send callers to other zones.
     is_zone_majority_absent: Cell<bool>,
-    /// A graceful shutdown has begun.
-    is_stopping: Cell<bool>,
+    /// Set when a graceful shutdown begins.
+    pub shutdown: Rc<Shutdown>,
+    /// How long requests take.
+    pub durations: RefCell<Durations>,
     /// Limits the log lines for successful responses. Those beyond it are only counted.
     response_log_budget: RefCell<LineBudget>,
     pub metrics: Metrics,
@@ -140,7 +145,8 @@
             affinity: RefCell::default(),
             has_endpoints: Cell::new(false),
             is_zone_majority_absent: Cell::new(false),
-            is_stopping: Cell::new(false),
+            shutdown: Rc::new(Shutdown::new()),
+            durations: RefCell::default(),
             response_log_budget: RefCell::default(),
             metrics: Metrics::new(),
         }
@@ -158,10 +164,15 @@
         age_ms.is_some_and(|age_ms| (age_ms as f64) < bound_ms)
     }
 
+    /// Whether a graceful shutdown has begun.
+    fn is_stopping(&self) -> bool {
+        self.shutdown.time_left_ms().is_some()
+    }
+
     /// The state reported to the load balancer's readiness check.
     fn is_ready(&self) -> bool {
         let revocation_ms = self.settings.bounds.revocation_ms;
-        !self.is_stopping.get()
+        !self.is_stopping()
             && self.has_endpoints.get()
             && !self.is_zone_majority_absent.get()
             && self.configuration_revision.get() > 0
@@ -247,6 +258,13 @@
     fn record_stream_end(&self, admitted: &AdmittedCall) {
         let elapsed_ms = now_ms().saturating_sub(admitted.arrived_ms);
         self.metrics.record_stream(&admitted.route.name, elapsed_ms);
+        self.record_duration(admitted, elapsed_ms);
+    }
+
+    /// Records how long a request took that has ended.
+    fn record_duration(&self, admitted: &AdmittedCall, elapsed_ms: u64) {
+        let mut durations = self.durations.borrow_mut();
+        durations.record(&admitted.route.name, elapsed_ms);
     }
 
     /// Logs how many successful responses were left out of the log since the last call.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod config;
 mod contact;
 mod directory;
+mod durations;
 pub mod edge;
 mod endpoint_view;
 mod events;
@@ -53,6 +54,7 @@
     InternalRecord, MetadataError, MetadataStore, Retirement, RetirementState,
     StoreFuture,
 };
+pub use durations::Durations;
 pub use endpoint_view::{EndpointRead, EndpointUpdate, EndpointView};
 pub use events::{EventReader, StreamEvent};
 pub use freshness::Freshness;
