Bound the memory of all streams together

Callers saw (report of another operator, shown here by a test): an endpoint that sends bytes without end to many requests at once fills the memory of the entry instance, whose end ends the requests of all its callers.

Cause: each part of a stream had a bound (incomplete event 1 MiB, 16 events that wait for the caller, 4 MiB of output to be stored), but all streams together had none.

Ruled out: heads (64 KiB each) and whole bodies (a common budget).

Change: what a stream takes beyond 32 KiB is claimed from the memory for response bodies; without room that stream is interrupted. The queue for a caller is bounded in bytes, and events are queued in pieces.

--- a/crates/gateway/src/edge/body.rs
+++ b/crates/gateway/src/edge/body.rs
@@ -7,6 +7,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::edge::stream_memory::QueuedBytes;
+
 /// The endpoint's stream ended early. The caller's connection is then closed before the end of
 /// the body, so that the caller does not take the body for complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,7 +26,11 @@
 #[derive(Debug)]
 pub(crate) enum BodyChunk {
     /// Bytes to send to the caller.
-    Data(Bytes),
+    Data {
+        content: Bytes,
+        /// They leave the queue when hyper takes them.
+        _queued: QueuedBytes,
+    },
     /// The body is complete. Without it, the caller receives an interrupted body.
     End,
 }
@@ -67,7 +73,9 @@
             }
             CallBody::Streamed { chunks, is_flushed } => {
                 match ready!(chunks.poll_recv(context)) {
-                    Some(BodyChunk::Data(content)) => Some(Ok(Frame::data(content))),
+                    Some(BodyChunk::Data { content, .. }) => {
+                        Some(Ok(Frame::data(content)))
+                    }
                     Some(BodyChunk::End) => None,
                     // hyper discards what it has buffered when a body fails, and sends it when a
                     // body is pending.
--- a/crates/gateway/src/edge/collect.rs
+++ b/crates/gateway/src/edge/collect.rs
@@ -60,12 +60,31 @@
 }
 
 /// Memory of one body. Gives it back when it is dropped.
-struct Claim {
+pub(crate) struct Claim {
     memory: Rc<BodyMemory>,
     bytes: usize,
 }
 
 impl Claim {
+    /// Claims nothing yet.
+    pub(crate) fn new(memory: &Rc<BodyMemory>) -> Claim {
+        Claim {
+            memory: Rc::clone(memory),
+            bytes: 0,
+        }
+    }
+
+    /// Claims this much in all. Returns false, and changes nothing, if there is not enough memory.
+    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
+        if bytes > self.bytes {
+            return self.grow(bytes - self.bytes);
+        }
+        let used_bytes = &self.memory.used_bytes;
+        used_bytes.set(used_bytes.get() - (self.bytes - bytes));
+        self.bytes = bytes;
+        true
+    }
+
     /// Claims more memory. Returns false if there is not enough.
     fn grow(&mut self, bytes: usize) -> bool {
         let used_bytes = self.memory.used_bytes.get() + bytes;
@@ -98,10 +117,7 @@
     if announced > MAX_BODY_BYTES as u64 {
         return Err(CollectError::TooLong);
     }
-    let mut claim = Claim {
-        memory: Rc::clone(memory),
-        bytes: 0,
-    };
+    let mut claim = Claim::new(memory);
     // The blocks are joined once at the end: a buffer that grows would take three times the
     // length of the body. They are filled by copying, since a body may arrive in tiny pieces.
     let mut blocks: Vec<BytesMut> = Vec::new();
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod shutdown;
 mod stream;
+mod stream_memory;
 mod sync;
 
 use std::cell::{Cell, RefCell};
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -20,13 +20,17 @@
 use crate::edge::collect::collect;
 use crate::edge::exchange::{EndpointResponse, PooledConnection, send};
 use crate::edge::refusal::Refusal;
+use crate::edge::stream_memory::StreamMemory;
 use crate::events::{EventReader, StreamEvent};
 use crate::log_fields::OrNone;
 use crate::retry::{Attempt, Outcome, Step};
 
-/// Events buffered for a caller that reads slowly. Reading from the endpoint stops while the
-/// buffer is full.
-const MAX_QUEUED_EVENTS: usize = 16;
+/// Pieces of events that wait for a caller who reads slowly. Reading from the endpoint stops while
+/// there are so many.
+const MAX_QUEUED_PIECES: usize = 16;
+
+/// Largest piece of an event, in bytes. hyper holds one that it cannot write yet.
+const MAX_PIECE_BYTES: usize = 16 << 10;
 
 /// Reason of an interruption by the loss of the connection.
 const CONNECTION_LOST: &str = "connection lost";
@@ -37,6 +41,9 @@
 /// Reason of an interruption by an event without end.
 const EVENT_TOO_LARGE: &str = "event too large";
 
+/// Reason of an interruption because streams take too much memory.
+const OUT_OF_MEMORY: &str = "out of memory";
+
 /// Tokens reserved for a turn in its program's budget. Dropping it reports the tokens that were
 /// used to the members, which release the rest.
 pub(crate) struct BudgetReservation {
@@ -86,6 +93,7 @@
     last_event_id: Option<u64>,
     /// Data of the events so far, if the turn is to be stored.
     output: BytesMut,
+    memory: StreamMemory,
 }
 
 /// The response stream of one endpoint.
@@ -121,6 +129,7 @@
             tried: Vec::new(),
             current: None,
             output: BytesMut::new(),
+            memory: StreamMemory::new(&edge.body_memory),
         }
     }
 
@@ -228,7 +237,7 @@
     }
 
     /// Reads the next events, or the end of the stream. Stops at the caller's deadline.
-    async fn next(&self, stream: &mut EndpointStream) -> StreamProgress {
+    async fn next(&mut self, stream: &mut EndpointStream) -> StreamProgress {
         loop {
             let time_left = Duration::from_millis(self.admitted.time_left_ms());
             let frame = match tokio::time::timeout(time_left, stream.body.frame()).await {
@@ -245,12 +254,26 @@
             };
             match stream.reader.push(&bytes) {
                 None => return StreamProgress::Interrupted(EVENT_TOO_LARGE),
+                Some(events) if !self.hold(stream, &events) => {
+                    return StreamProgress::Interrupted(OUT_OF_MEMORY);
+                }
                 Some(events) if events.is_empty() => {}
                 Some(events) => return StreamProgress::Events(events),
             }
         }
     }
 
+    /// Claims the memory of the stream with these new events. Returns false if there is not enough.
+    fn hold(&mut self, stream: &EndpointStream, events: &[StreamEvent]) -> bool {
+        let of_event = |event: &StreamEvent| {
+            event.raw.len() + event.data.as_ref().map_or(0, Vec::len)
+        };
+        let event_bytes: usize = events.iter().map(of_event).sum();
+        let buffer_bytes = stream.reader.buffer_bytes();
+        self.memory
+            .hold(event_bytes + buffer_bytes + self.output.capacity())
+    }
+
     /// Returns the leading events whose identifiers increase, starting from the last one sent, and
     /// whether these are all events.
     fn events_in_order(&self, events: Vec<StreamEvent>) -> (Vec<StreamEvent>, bool) {
@@ -297,7 +320,7 @@
             first => {
                 let mut headers = call.edge.protocol.caller_headers(&upstream.headers);
                 headers.remove(CONTENT_LENGTH);
-                let (sender, receiver) = mpsc::channel(MAX_QUEUED_EVENTS);
+                let (sender, receiver) = mpsc::channel(MAX_QUEUED_PIECES);
                 tokio::task::spawn_local(forward_events(call, stream, first, sender));
                 let mut response = Response::new(CallBody::streamed(receiver));
                 *response.status_mut() = upstream.status;
@@ -416,15 +439,33 @@
             return Queued::Excess(reason);
         }
         call.record(&event);
-        let time_left = Duration::from_millis(call.admitted.time_left_ms());
-        let sending = sender.send_timeout(BodyChunk::Data(event.raw), time_left);
-        if sending.await.is_err() {
+        if queue_event(call, event.raw, sender).await.is_none() {
             return Queued::CallerGone;
         }
     }
     Queued::All
 }
 
+/// Queues an event in pieces. `None` if the caller has disconnected, or has not read until its
+/// deadline.
+async fn queue_event(
+    call: &StreamCall,
+    mut event: Bytes,
+    sender: &mpsc::Sender<BodyChunk>,
+) -> Option<()> {
+    while !event.is_empty() {
+        let piece = event.split_to(event.len().min(MAX_PIECE_BYTES));
+        let time_left = Duration::from_millis(call.admitted.time_left_ms());
+        let chunk = BodyChunk::Data {
+            _queued: call.memory.queue(piece.len(), time_left).await?,
+            content: piece,
+        };
+        let sending = sender.send_timeout(chunk, time_left);
+        sending.await.ok()?;
+    }
+    Some(())
+}
+
 /// Continues at another endpoint after the last event that was queued. `None` if that is not
 /// allowed or fails.
 async fn resume(
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -64,6 +64,11 @@
         None
     }
 
+    /// Memory of the incomplete event at the end, in bytes.
+    pub fn buffer_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Whether the bytes received so far end with a complete event.
     pub fn is_at_boundary(&self) -> bool {
         self.buffer.is_empty()
