Give up endpoints that send informational responses without end

Callers saw: with 150 requests to an endpoint that answers 100 Continue without end, requests to other endpoints were refused, because the instance did not get to read the responses of the members.

Cause: the parser skips informational responses, however many there are, until the request's deadline.

Ruled out: memory (41 of 88 MB).

Change: a connection is closed when 80 KiB have arrived before the end of a head, and the endpoint is set aside as after a malformed head. Connections yield after 16 KiB instead of 64.

--- a/crates/gateway/src/fair_stream.rs
+++ b/crates/gateway/src/fair_stream.rs
@@ -1,23 +1,60 @@
-//! A TCP stream that leaves time for other tasks.
+//! A TCP stream that leaves time for other tasks, and ends if no response begins.
 //!
 //! All connections of an instance share one thread. A peer that sends without a pause keeps the
-//! task of its connection ready, and the HTTP parser reads on for as long as there are bytes.
+//! task of its connection ready, and the HTTP parser reads on for as long as there are bytes. It
+//! also skips informational responses, however many there are.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
+use crate::http_connection::MAX_HEAD_BYTES;
+
 /// Bytes that are read without a pause. Longer than almost all responses.
-const MAX_BURST_BYTES: usize = 64 << 10;
+const MAX_BURST_BYTES: usize = 16 << 10;
+
+/// Bytes that may be read until the head of a response is complete: the largest head, and what is
+/// read with its end.
+const MAX_BYTES_BEFORE_RESPONSE: usize = MAX_HEAD_BYTES + MAX_BURST_BYTES;
+
+/// Bytes that may be read before a response. Shared by the stream and the connection that uses it.
+#[derive(Debug, Default)]
+pub(crate) struct ResponseWait {
+    /// `None` while no response is awaited.
+    left_bytes: Cell<Option<usize>>,
+}
+
+impl ResponseWait {
+    /// Begins to count.
+    pub(crate) fn begin(&self) {
+        self.left_bytes.set(Some(MAX_BYTES_BEFORE_RESPONSE));
+    }
+
+    /// Ends the count. Returns whether too many bytes arrived.
+    pub(crate) fn end(&self) -> bool {
+        self.left_bytes.take() == Some(0)
+    }
+
+    /// Counts bytes. Returns whether they are too many.
+    fn is_exceeded_by(&self, bytes: usize) -> bool {
+        let left_bytes = self.left_bytes.get();
+        let left_bytes = left_bytes.map(|left_bytes| left_bytes.saturating_sub(bytes));
+        self.left_bytes.set(left_bytes);
+        left_bytes == Some(0)
+    }
+}
 
 /// A TCP stream whose reads yield to other tasks after each [`MAX_BURST_BYTES`].
 pub(crate) struct FairStream {
     stream: TcpStream,
+    wait: Rc<ResponseWait>,
     /// Bytes read since the last wait for the peer or for other tasks.
     burst_bytes: usize,
     /// Ends once other tasks have run.
@@ -25,9 +62,10 @@
 }
 
 impl FairStream {
-    pub(crate) fn new(stream: TcpStream) -> FairStream {
+    pub(crate) fn new(stream: TcpStream, wait: &Rc<ResponseWait>) -> FairStream {
         FairStream {
             stream,
+            wait: Rc::clone(wait),
             burst_bytes: 0,
             pause: None,
         }
@@ -46,9 +84,14 @@
         }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read_bytes = buffer.filled().len() - before;
+        if self.wait.is_exceeded_by(read_bytes) {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "no response begins");
+            return Poll::Ready(Err(error));
+        }
         self.burst_bytes = match polled {
             Poll::Pending => 0,
-            Poll::Ready(_) => self.burst_bytes + buffer.filled().len() - before,
+            Poll::Ready(_) => self.burst_bytes + read_bytes,
         };
         if self.burst_bytes >= MAX_BURST_BYTES {
             self.burst_bytes = 0;
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use crate::fair_stream::FairStream;
+use crate::fair_stream::{FairStream, ResponseWait};
 
 /// Idle time after which a connection is probed. A connection can go silent for good without a
 /// reset, which only a probe reveals.
@@ -40,7 +41,7 @@
 const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Largest response head, in bytes. Heads are a few hundred bytes long.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Largest number of headers in a response.
 const MAX_HEADERS: usize = 100;
@@ -52,6 +53,8 @@
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Limits what is read before a response.
+    wait: Rc<ResponseWait>,
 }
 
 /// Why a request got no response.
@@ -77,10 +80,11 @@
         timeout_ms: u64,
     ) -> io::Result<HttpConnection> {
         let stream = connect_tcp(address, timeout_ms).await?;
+        let wait = Rc::new(ResponseWait::default());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
-            .handshake(TokioIo::new(FairStream::new(stream)))
+            .handshake(TokioIo::new(FairStream::new(stream, &wait)))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
@@ -88,7 +92,11 @@
                 log::debug!("event=connection_ended address={address} reason={error:?}");
             }
         });
-        Ok(HttpConnection { sender, driver })
+        Ok(HttpConnection {
+            sender,
+            driver,
+            wait,
+        })
     }
 
     /// Whether a request can be sent now.
@@ -110,14 +118,18 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.wait.begin();
         let sent = self.sender.try_send_request(request).await;
+        let is_without_response = self.wait.end();
         sent.map_err(|mut error| {
             let is_sent = error.take_message().is_none();
             let error = error.into_error();
             let reason = error.to_string();
             match is_sent {
                 false => SendError::NotSent(reason),
-                true if error.is_parse() => SendError::Malformed(reason),
+                true if error.is_parse() || is_without_response => {
+                    SendError::Malformed(reason)
+                }
                 true => SendError::Lost(reason),
             }
         })
