--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -50,6 +50,14 @@
     Leave,
 }
 
+/// A version of the group that is not settled.
+#[derive(Clone, Copy, Debug)]
+struct UnsettledGroup {
+    version: u64,
+    /// When this instance first saw it.
+    since_ms: u64,
+}
+
 /// What one instance observed about the members, as the basis for its proposals.
 #[derive(Debug, Default)]
 pub struct MemberMonitor {
@@ -58,8 +66,8 @@
     silent_since_ms: HashMap<String, u64>,
     /// Since when this instance is a member that is being retired.
     retiring_since_ms: Option<u64>,
-    /// The version of the group that is not settled, and when it was first seen.
-    unsettled: Option<(u64, u64)>,
+    /// The newest version of the group, if that is not settled.
+    unsettled: Option<UnsettledGroup>,
 }
 
 impl MemberMonitor {
@@ -114,15 +122,17 @@
     /// Whether the group must not change yet, because a member that left may not have handed over
     /// its records.
     fn waits_until_settled(&mut self, now_ms: u64, group: &Group) -> bool {
-        let seen = self
-            .unsettled
-            .filter(|(version, _)| *version == group.version);
+        let version = group.version;
+        let seen = self.unsettled.filter(|known| known.version == version);
         self.unsettled = match group.is_settled() {
             true => None,
-            false => Some(seen.unwrap_or((group.version, now_ms))),
+            false => seen.or(Some(UnsettledGroup {
+                version,
+                since_ms: now_ms,
+            })),
         };
-        let mut since_ms = self.unsettled.iter().map(|(_, since_ms)| *since_ms);
-        since_ms.any(|since_ms| now_ms < since_ms + SETTLE_WAIT_MS)
+        self.unsettled
+            .is_some_and(|known| now_ms < known.since_ms + SETTLE_WAIT_MS)
     }
 
     /// The proposal of a spare. A member being retired is replaced before a silent one.
