Close a stream that is given up before it goes on elsewhere

Endpoints saw: after an interruption that is not a lost connection, such as an event without end, the first endpoint worked on the request until the second one answered, so two of them worked on it for seconds.

Cause: the interrupted stream was held by the caller of resume until that returned.

Ruled out: a socket that outlives its connection; it closes as soon as the stream is dropped.

Change: resume consumes the stream and closes it before it picks another endpoint. The retry before the first event does the same.

--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -103,6 +103,11 @@
     reader: EventReader,
 }
 
+impl EndpointStream {
+    /// Closes the connection, so that the endpoint stops working on the request.
+    fn close(self) {}
+}
+
 /// What was read next from an endpoint's stream.
 enum StreamProgress {
     Events(Vec<StreamEvent>),
@@ -312,7 +317,9 @@
         let first = call.next(&mut stream).await;
         match first {
             StreamProgress::Interrupted(reason) => {
-                if !call.may_resume_after(&stream, reason) {
+                let may_resume = call.may_resume_after(&stream, reason);
+                stream.close();
+                if !may_resume {
                     return Err(final_refusal(&call.admitted, Step::FailUnknown));
                 }
                 call.wait_for_crash_check().await;
@@ -382,7 +389,7 @@
             StreamProgress::Interrupted(reason) => Some(reason),
         };
         if let Some(reason) = interruption {
-            let Some(resumed) = resume(&mut call, &stream, reason, &sender).await else {
+            let Some(resumed) = resume(&mut call, stream, reason, &sender).await else {
                 call.edge.metrics.stream_interrupted();
                 return;
             };
@@ -466,15 +473,17 @@
     Some(())
 }
 
-/// Continues at another endpoint after the last event that was queued. `None` if that is not
-/// allowed or fails.
+/// Continues at another endpoint after the last event that was queued, once the interrupted stream
+/// is closed. `None` if that is not allowed or fails.
 async fn resume(
     call: &mut StreamCall,
-    interrupted: &EndpointStream,
+    interrupted: EndpointStream,
     reason: &'static str,
     sender: &mpsc::Sender<BodyChunk>,
 ) -> Option<EndpointStream> {
-    if !call.may_resume_after(interrupted, reason) || !call.is_resumable() {
+    let may_resume = call.may_resume_after(&interrupted, reason);
+    interrupted.close();
+    if !may_resume || !call.is_resumable() {
         return None;
     }
     let restart = async {
