Give informational responses less time at once

Cause: the parser skips informational responses in a loop that ends only with the bytes. Ruled out: an overloaded machine as the only cause. Members without time: the entry instance itself logs the delay. Change: connections yield after 1 KiB while a response is awaited. `loop_delayed` is logged by entry and storage instances. A machine that does not run the process for 450 ms still leads to refusals, and the log now shows that.

--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -15,6 +15,7 @@
 use crate::endpoint_view::{
     CHANGE_BATCH_MS, ENTRY_WATCH_MS, EndpointUpdate, EndpointView, EndpointWatcher,
 };
+use crate::loop_monitor::monitor_loop;
 use crate::membership::GROUP_RECORD;
 use crate::presence::{PRESENCE_INTERVAL_MS, is_majority_absent};
 
@@ -73,6 +74,7 @@
     tokio::task::spawn_local(sweep_loop(Rc::clone(edge)));
     tokio::task::spawn_local(follow_presence(Rc::clone(edge)));
     tokio::task::spawn_local(renew_turns(Rc::clone(edge)));
+    tokio::task::spawn_local(monitor_loop());
 }
 
 /// Tells the members periodically which stored turns are still used.
--- a/crates/gateway/src/fair_stream.rs
+++ b/crates/gateway/src/fair_stream.rs
@@ -2,7 +2,8 @@
 //!
 //! All connections of an instance share one thread. A peer that sends without a pause keeps the
 //! task of its connection ready, and the HTTP parser reads on for as long as there are bytes. It
-//! also skips informational responses, however many there are.
+//! also skips informational responses, however many there are, and these take it much longer than
+//! other bytes.
 
 use std::cell::Cell;
 use std::future::Future;
@@ -20,6 +21,10 @@
 /// Bytes that are read without a pause. Longer than almost all responses.
 const MAX_BURST_BYTES: usize = 16 << 10;
 
+/// Bytes that are read without a pause until the head of a response is complete. Longer than almost
+/// all heads.
+const MAX_HEAD_BURST_BYTES: usize = 1 << 10;
+
 /// Bytes that may be read until the head of a response is complete: the largest head, and what is
 /// read with its end.
 const MAX_BYTES_BEFORE_RESPONSE: usize = MAX_HEAD_BYTES + MAX_BURST_BYTES;
@@ -32,6 +37,11 @@
 }
 
 impl ResponseWait {
+    /// Whether a response is awaited.
+    fn is_active(&self) -> bool {
+        self.left_bytes.get().is_some()
+    }
+
     /// Begins to count.
     pub(crate) fn begin(&self) {
         self.left_bytes.set(Some(MAX_BYTES_BEFORE_RESPONSE));
@@ -51,7 +61,8 @@
     }
 }
 
-/// A TCP stream whose reads yield to other tasks after each [`MAX_BURST_BYTES`].
+/// A TCP stream whose reads yield to other tasks after each [`MAX_BURST_BYTES`], or
+/// [`MAX_HEAD_BURST_BYTES`] while a response is awaited.
 pub(crate) struct FairStream {
     stream: TcpStream,
     wait: Rc<ResponseWait>,
@@ -82,9 +93,15 @@
             ready!(pause.as_mut().poll(context));
             self.pause = None;
         }
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let read_bytes = buffer.filled().len() - before;
+        let max_burst_bytes = match self.wait.is_active() {
+            true => MAX_HEAD_BURST_BYTES,
+            false => MAX_BURST_BYTES,
+        };
+        let part_bytes = buffer.remaining().min(max_burst_bytes);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(part_bytes));
+        let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let read_bytes = part.filled().len();
+        buffer.advance(read_bytes);
         if self.wait.is_exceeded_by(read_bytes) {
             let error = io::Error::new(io::ErrorKind::InvalidData, "no response begins");
             return Poll::Ready(Err(error));
@@ -93,7 +110,7 @@
             Poll::Pending => 0,
             Poll::Ready(_) => self.burst_bytes + read_bytes,
         };
-        if self.burst_bytes >= MAX_BURST_BYTES {
+        if self.burst_bytes >= max_burst_bytes {
             self.burst_bytes = 0;
             self.pause = Some(Box::pin(yield_now()));
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod link;
 mod log_fields;
 mod log_queue;
+mod loop_monitor;
 mod membership;
 mod metered;
 mod metrics;
--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -15,6 +15,7 @@
 use crate::directory::{MetadataError, RetirementState};
 use crate::endpoint_view::{CHANGE_BATCH_MS, EndpointWatcher, MEMBER_WATCH_MS};
 use crate::link::Link;
+use crate::loop_monitor::monitor_loop;
 use crate::membership::{
     COPY_DELAY_MS, GROUP_RECORD, MEMBER_RECORD_PREFIX, MemberMonitor, Proposal,
 };
@@ -70,6 +71,7 @@
     tokio::task::spawn_local(follow_endpoints(Rc::clone(process)));
     tokio::task::spawn_local(copy_missing(Rc::clone(process)));
     tokio::task::spawn_local(maintain_group(Rc::clone(process)));
+    tokio::task::spawn_local(monitor_loop());
     let ticking = Rc::clone(process);
     tokio::task::spawn_local(async move {
         loop {
