Let a group of two replace a member that is lost for good

Cause: "quorum" stood for the members whose votes decide and for those that hold all records together. With two members a decision needs both, so that either holds everything, but a change asked for both. Ruled out: that the change alone is missing. The search, extended by a group of two and a lost member, found without the change no way out after `LoseMember`, and the new member also waits for copies from a quorum of the version before. Change: `read_quorum`, for changes of the group and for what a new member copies. While a member that left has not handed over its records a quorum is needed as before, and the members of the last settled version stay the sources. A spare takes the place of the silent member after 1 s, rather than joining beside it. Also found by the search and mended: in a group of two, a member that joins and one that loses its disk waited for each other for good. Without a spare the member that is left does not go on alone.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -29,6 +29,11 @@
 /// short outages end sooner, and a replacement costs a copy of all data.
 const REPLACE_AFTER_MS: u64 = 4_000;
 
+/// Time without a response after which a spare replaces a member of a group without a quorum, in
+/// milliseconds: some requests have failed by then. Such a group serves nothing, and the member can
+/// join again when it is back.
+const REPLACE_WITHOUT_QUORUM_AFTER_MS: u64 = 1_000;
+
 /// Time that a member being retired waits for a spare before it leaves without replacement, in
 /// milliseconds.
 const SPARE_WAIT_MS: u64 = 2_500;
@@ -87,8 +92,8 @@
     /// The change that the instance `own_member` should propose now, if any. `retiring` holds the
     /// names of the instances being retired.
     ///
-    /// `voting` is the number of members that vote. Without a quorum of them the group must not
-    /// change, since the members of the next group copy their records from a quorum of this one.
+    /// `voting` is the number of members that vote. The group must not change if they are fewer than
+    /// [`Group::quorum_to_change`].
     pub fn propose(
         &mut self,
         now_ms: u64,
@@ -105,11 +110,11 @@
             }
             false => self.retiring_since_ms = None,
         }
-        if voting < group.quorum() || self.waits_until_settled(now_ms, group) {
+        if voting < group.quorum_to_change() || self.waits_until_settled(now_ms, group) {
             return None;
         }
         match (is_member, is_retiring) {
-            (false, false) => self.propose_join(now_ms, group, retiring),
+            (false, false) => self.propose_join(now_ms, group, retiring, voting),
             (true, true) => {
                 let since_ms = self.retiring_since_ms.unwrap_or(now_ms);
                 let has_waited = now_ms >= since_ms + SPARE_WAIT_MS;
@@ -136,29 +141,48 @@
     }
 
     /// The proposal of a spare. A member being retired is replaced before a silent one.
+    ///
+    /// In a group without a quorum the spare takes the place of a silent member rather than joining
+    /// beside it: the next version must not need a member that may be lost for good.
     fn propose_join(
         &self,
         now_ms: u64,
         group: &Group,
         retiring: &[String],
+        voting: usize,
     ) -> Option<Proposal> {
-        let mut members = group.members.iter();
-        let leaving = members
-            .clone()
+        let has_quorum = voting >= group.quorum();
+        let replace_after_ms = match has_quorum {
+            true => REPLACE_AFTER_MS,
+            false => REPLACE_WITHOUT_QUORUM_AFTER_MS,
+        };
+        let members = || group.members.iter();
+        let leaving = members()
             .find(|member| retiring.contains(&member.name))
-            .or_else(|| members.find(|member| self.is_silent(now_ms, &member.name)));
+            .or_else(|| {
+                members().find(|member| {
+                    self.silence_ms(now_ms, &member.name) >= Some(replace_after_ms)
+                })
+            });
+        let is_silence_undecided = || {
+            !has_quorum
+                && members().any(|member| self.silence_ms(now_ms, &member.name).is_some())
+        };
         match leaving {
             Some(member) => Some(Proposal::Join {
                 leaving: Some(member.name.clone()),
             }),
-            None if group.has_room() => Some(Proposal::Join { leaving: None }),
+            None if group.has_room() && !is_silence_undecided() => {
+                Some(Proposal::Join { leaving: None })
+            }
             None => None,
         }
     }
 
-    /// Whether a member has sent no response for [`REPLACE_AFTER_MS`].
-    fn is_silent(&self, now_ms: u64, name: &str) -> bool {
-        let since_ms = self.silent_since_ms.get(name);
-        since_ms.is_some_and(|since_ms| since_ms + REPLACE_AFTER_MS <= now_ms)
+    /// Time since a member began to send no responses, in milliseconds. `None` if it responded last
+    /// time.
+    fn silence_ms(&self, now_ms: u64, name: &str) -> Option<u64> {
+        let since_ms = self.silent_since_ms.get(name)?;
+        Some(now_ms.saturating_sub(*since_ms))
     }
 }
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -10,6 +10,10 @@
 /// milliseconds.
 const SETTLE_WAIT_MS: u64 = 20_000;
 
+/// Time without a response after which a member of a group without a quorum is replaced, in
+/// milliseconds.
+const REPLACE_WITHOUT_QUORUM_AFTER_MS: u64 = 1_000;
+
 fn group() -> Group {
     Group::first(&["a", "b", "c"].map(member), 1)
 }
@@ -58,3 +62,44 @@
     let proposal = monitor.propose(3_500, &settled, &leaving, &retiring, 2);
     assert_eq!(proposal, Some(Proposal::Leave));
 }
+
+// Guards against a group of two that serves no turn any more after one member is lost for good, and
+// against a next version that still needs that member.
+#[test]
+fn spare_takes_the_place_of_a_silent_member_of_a_group_of_two() {
+    let pair = group().replace(Some("a"), None).settle();
+    let spare = member("d");
+    let mut monitor = MemberMonitor::default();
+    monitor.record_status(0, "b", true);
+    monitor.record_status(0, "c", false);
+    for now_ms in [0, REPLACE_WITHOUT_QUORUM_AFTER_MS - 1] {
+        let proposal = monitor.propose(now_ms, &pair, &spare, &[], 1);
+        assert_eq!(proposal, None, "at {now_ms} ms");
+    }
+    let proposal =
+        monitor.propose(REPLACE_WITHOUT_QUORUM_AFTER_MS, &pair, &spare, &[], 1);
+    let leaving = Some("c".to_string());
+    assert_eq!(proposal, Some(Proposal::Join { leaving }));
+}
+
+// Guards against a spare that waits for a member that responds but has lost its disk.
+#[test]
+fn spare_joins_a_group_of_two_of_which_one_catches_up() {
+    let pair = group().replace(Some("a"), None).settle();
+    let mut monitor = MemberMonitor::default();
+    monitor.record_status(0, "b", true);
+    monitor.record_status(0, "c", true);
+    let proposal = monitor.propose(0, &pair, &member("d"), &[], 1);
+    assert_eq!(proposal, Some(Proposal::Join { leaving: None }));
+}
+
+// Guards against a change by a spare that reaches no member that holds all records.
+#[test]
+fn spare_waits_for_a_member_that_votes() {
+    let pair = group().replace(Some("a"), None).settle();
+    let mut monitor = MemberMonitor::default();
+    monitor.record_status(0, "b", false);
+    monitor.record_status(0, "c", false);
+    let proposal = monitor.propose(60_000, &pair, &member("d"), &[], 0);
+    assert_eq!(proposal, None);
+}
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -32,7 +32,10 @@
     pub version: u64,
     /// Members of this version, without duplicates.
     pub members: Vec<Member>,
-    /// Members of the previous version. Empty in the first one.
+    /// Members of the newest settled version before this one. Empty in the first one.
+    ///
+    /// Any [`read_quorum`] of them that are complete in the version before this one hold all records
+    /// of the versions before this one.
     pub previous: Vec<Member>,
     /// Number of disks that may be lost at the same time without a loss of records. Set by
     /// the instance that creates the first group.
@@ -73,7 +76,10 @@
         Group {
             version: self.version + 1,
             members: remaining.cloned().chain(joining).collect(),
-            previous: self.members.clone(),
+            previous: match self.is_settled() {
+                true => self.members.clone(),
+                false => self.previous.clone(),
+            },
             tolerated_losses: self.tolerated_losses,
         }
     }
@@ -81,7 +87,11 @@
     /// Returns the next version, with the same members: the one that left without a replacement has
     /// handed over its records.
     pub fn settle(&self) -> Group {
-        self.replace(None, None)
+        Group {
+            version: self.version + 1,
+            previous: self.members.clone(),
+            ..self.clone()
+        }
     }
 
     /// Whether the members hold all records together. False from the time when a member leaves
@@ -118,14 +128,22 @@
         quorum(self.members.len())
     }
 
+    /// Number of members that must vote for the group to change: those of the next version copy
+    /// their records, so they must hold all of them together.
+    ///
+    /// Until a member that left has handed over its records, some have a copy on only one of those
+    /// that stay.
+    pub fn quorum_to_change(&self) -> usize {
+        match self.is_settled() {
+            true => read_quorum(self.members.len(), self.tolerated_losses),
+            false => self.quorum(),
+        }
+    }
+
     /// Number of copies that a finished turn needs to survive the tolerated losses, and to be
     /// on at least one member of any quorum that a reader contacts.
     pub fn copies(&self) -> usize {
-        let copies_for_readers = self.members.len() + 1 - self.quorum();
-        let copies_for_losses = self.tolerated_losses + 1;
-        copies_for_readers
-            .max(copies_for_losses)
-            .min(self.members.len())
+        copies(self.members.len(), self.tolerated_losses)
     }
 }
 
@@ -151,6 +169,19 @@
     members / 2 + 1
 }
 
+fn copies(members: usize, tolerated_losses: usize) -> usize {
+    let copies_for_readers = (members + 1).saturating_sub(quorum(members));
+    let copies_for_losses = tolerated_losses + 1;
+    copies_for_readers.max(copies_for_losses).min(members)
+}
+
+/// Number of members that hold all records together: at least one of them belongs to any quorum, and
+/// one has a copy of any turn. In a group of two a single member does.
+fn read_quorum(members: usize, tolerated_losses: usize) -> usize {
+    let holders = quorum(members).min(copies(members, tolerated_losses));
+    (members + 1).saturating_sub(holders)
+}
+
 /// Role of an instance in the newest group that it knows.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum MembershipState {
@@ -213,8 +244,8 @@
 ///
 /// If it may have voted in this version before its disk was lost, it copies all records of a
 /// quorum of the other members. A member that has not voted in this version, or was not a member
-/// of the previous one, copies those of a quorum of the previous version. So does any member while
-/// the group is not settled. Any such quorum holds a copy of every earlier record.
+/// of the previous one, copies those of a read quorum of the previous version. So does any member
+/// while the group is not settled. Any such quorum holds a copy of every earlier record.
 ///
 /// A member that has just joined thus waits for no other one that catches up, so that two of them
 /// never wait for each other.
@@ -233,12 +264,12 @@
 }
 
 impl CopyRequirement {
-    /// Requires a quorum of `members`, not counting the instance `name`, or all of the others
-    /// if these are fewer.
-    fn quorum_of(members: &[Member], name: &str) -> CopyRequirement {
+    /// Requires `needed` of `members`, not counting the instance `name`, or all of the others if
+    /// these are fewer.
+    fn new(members: &[Member], name: &str, needed: usize) -> CopyRequirement {
         let others = members.iter().filter(|member| member.name != name);
         let names: BTreeSet<String> = others.map(|member| member.name.clone()).collect();
-        let needed = quorum(members.len()).min(names.len());
+        let needed = needed.min(names.len());
         CopyRequirement { names, needed }
     }
 }
@@ -250,10 +281,12 @@
         let was_member = group.previous.iter().any(|member| member.name == name);
         let mut requirements = Vec::new();
         if may_have_voted {
-            requirements.push(CopyRequirement::quorum_of(&group.members, name));
+            let needed = group.quorum();
+            requirements.push(CopyRequirement::new(&group.members, name, needed));
         }
         if !may_have_voted || !was_member || !group.is_settled() {
-            requirements.push(CopyRequirement::quorum_of(&group.previous, name));
+            let needed = read_quorum(group.previous.len(), group.tolerated_losses);
+            requirements.push(CopyRequirement::new(&group.previous, name, needed));
         }
         let mut sources: Vec<Member> = Vec::new();
         for member in group.members.iter().chain(&group.previous) {
--- a/crates/ledger/tests/group.rs
+++ b/crates/ledger/tests/group.rs
@@ -1,6 +1,7 @@
 //! Tests of the group's membership and of what a member copies before it votes.
 
 use jayreel_ledger::{CatchUp, Group, Member, MembershipState, VoteHistory};
+use test_case::test_case;
 
 /// A member in an availability zone of its own.
 fn member(name: &str) -> Member {
@@ -55,6 +56,68 @@
     }
 }
 
+// Guards against a group of two that can't change after one member is lost for good, and against a
+// change by members that don't hold all records together.
+#[test_case(1, 0, 1)]
+#[test_case(2, 0, 2; "two members without tolerated losses may have one copy")]
+#[test_case(2, 1, 1)]
+#[test_case(3, 1, 2)]
+#[test_case(4, 1, 3; "four members may have two copies")]
+#[test_case(4, 2, 2)]
+#[test_case(5, 2, 3)]
+fn group_changes_if_those_who_vote_hold_all_records(
+    size: usize,
+    losses: usize,
+    needed: usize,
+) {
+    let names: Vec<String> = (0..size).map(|n| n.to_string()).collect();
+    let group = Group {
+        version: 1,
+        members: names.iter().map(|name| member(name)).collect(),
+        previous: Vec::new(),
+        tolerated_losses: losses,
+    };
+    assert_eq!(group.quorum_to_change(), needed);
+    assert!(needed + group.quorum() > size, "a vote may be missed");
+    assert!(needed + group.copies() > size, "a turn may be missed");
+}
+
+// Guards against records that only one of the members that stay holds: until they are handed over, a
+// change needs a quorum, and who joins copies from a quorum of the members before.
+#[test]
+fn spare_that_joins_a_group_that_is_not_settled_copies_all_members() {
+    let first = Group::first(&members(&["a", "b", "c"]), 1);
+    let reduced = first.replace(Some("c"), None);
+    assert_eq!(reduced.quorum_to_change(), 2);
+    let group = reduced.replace(None, Some(member("d")));
+    let votes = VoteHistory {
+        complete_version: None,
+        recorded_from: Some(1),
+    };
+    let mut plan = plan_of(&group, "d", votes);
+    plan.mark_copied("a");
+    assert!(!plan.is_complete(), "a record may have its only copy on b");
+    plan.mark_copied("b");
+    assert!(plan.is_complete());
+}
+
+// Guards against a member that waits for one that is lost for good: either of two holds all records.
+#[test]
+fn spare_copies_from_one_member_of_a_group_of_two() {
+    let pair = Group::first(&members(&["a", "b"]), 1);
+    let votes = VoteHistory {
+        complete_version: None,
+        recorded_from: Some(1),
+    };
+    for leaving in [None, Some("b")] {
+        let group = pair.replace(leaving, Some(member("d")));
+        let mut plan = plan_of(&group, "d", votes);
+        assert!(!plan.is_complete());
+        plan.mark_copied("a");
+        assert!(plan.is_complete(), "{leaving:?}");
+    }
+}
+
 /// A member that joins, votes and then loses its disk must copy from the present members.
 /// When it copied only from those of the version before it joined, turns stored since then
 /// were reported as missing (scenario hunt-e2e4-11 of hoaphat-pension).
--- a/crates/spec/tests/ledger.rs
+++ b/crates/spec/tests/ledger.rs
@@ -11,6 +11,7 @@
     disk_losses: 0,
     responses_may_be_lost: true,
     change: None,
+    member_may_be_lost: false,
     requires_progress: false,
     fault: None,
 };
@@ -36,11 +37,28 @@
     ..CHANGED_GROUP_AND_LOST_DISK
 };
 
+const JOINED_PAIR_AND_LOST_DISK: Scope = Scope {
+    change: Some(GroupChange::JoinPair),
+    ..CHANGED_GROUP_AND_LOST_DISK
+};
+const REPLACED_IN_PAIR_AND_LOST_DISK: Scope = Scope {
+    change: Some(GroupChange::ReplaceInPair),
+    ..CHANGED_GROUP_AND_LOST_DISK
+};
+
 #[test_case("three turns at once", BASE)]
 #[test_case("a disk is lost", LOST_DISK)]
 #[test_case("the group changes", CHANGED_GROUP)]
 #[test_case("the group changes and a disk is lost", CHANGED_GROUP_AND_LOST_DISK)]
 #[test_case("a member leaves and a disk is lost", REDUCED_GROUP_AND_LOST_DISK)]
+#[test_case(
+    "a spare joins two members and a disk is lost",
+    JOINED_PAIR_AND_LOST_DISK
+)]
+#[test_case(
+    "a spare replaces one of two members and a disk is lost",
+    REPLACED_IN_PAIR_AND_LOST_DISK
+)]
 fn budget_is_not_exceeded(name: &str, scope: Scope) {
     let outcome = search(name, World::new(scope));
     assert!(outcome.violation.is_none(), "{:?}", outcome.violation);
@@ -51,6 +69,8 @@
 // meanwhile must both vote again, whatever the order of the messages.
 #[test_case(GroupChange::Replace)]
 #[test_case(GroupChange::Leave)]
+#[test_case(GroupChange::JoinPair)]
+#[test_case(GroupChange::ReplaceInPair)]
 fn members_that_catch_up_do_not_wait_for_each_other(change: GroupChange) {
     let scope = Scope {
         turns: 1,
@@ -63,6 +83,24 @@
     assert!(outcome.states > 1_000, "{} states", outcome.states);
 }
 
+// Guards against a group of two that serves no turn any more after one member is lost for good: a
+// spare must be able to join or to take its place, without turns beyond the budget.
+#[test_case(GroupChange::JoinPair)]
+#[test_case(GroupChange::ReplaceInPair)]
+fn pair_that_loses_a_member_goes_on_with_a_spare(change: GroupChange) {
+    let scope = Scope {
+        change: Some(change),
+        disk_losses: 0,
+        responses_may_be_lost: true,
+        member_may_be_lost: true,
+        requires_progress: true,
+        ..CHANGED_GROUP_AND_LOST_DISK
+    };
+    let outcome = search("a pair loses a member", World::new(scope));
+    assert!(outcome.violation.is_none(), "{:?}", outcome.violation);
+    assert!(outcome.states > 1_000, "{} states", outcome.states);
+}
+
 /// The combination of a group change, a lost disk and lost responses. Run by hand, since it
 /// takes minutes.
 #[test]
