Bound the request bodies of all callers together

Cause: `read_body` limits each body; nothing counted them together. Ruled out: copies and buffers as the main part. A real process with a limit of 88 MB had a peak of 165 MB, of which the bodies are 134. Change: request bodies share a quarter of the memory limit, but for the first 32 KiB of each, until the request is answered. One that does not fit gets 503 with Retry-After before it is read, if its length is announced. The rest of a refused body is read and thrown away, so that the caller sees the refusal rather than a reset; 413 gains the same. Prompts that are built from stored turns are still not counted.

--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -3,8 +3,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -15,6 +13,7 @@
 use crate::config::{CallKind, Configuration, Customer, Route};
 use crate::edge::Edge;
 use crate::edge::call::{NO_CAPACITY_RETRY_AFTER_MS, NO_ENDPOINT_RETRY_AFTER_MS};
+use crate::edge::collect::{CollectError, Collected, collect_request, discard};
 use crate::edge::members::STORAGE_FULL_PAUSE_MS;
 use crate::edge::refusal::Refusal;
 use crate::protocol::CallHead;
@@ -208,25 +207,42 @@
     }
 }
 
-/// Reads the whole body, within the size limit of the route and `timeout_ms`.
+/// Reads the whole body, within the size limit of the route, the memory for request bodies and
+/// `timeout_ms`.
 pub(crate) async fn read_body(
+    edge: &Edge,
     configuration: &Configuration,
     route: &Route,
-    body: Incoming,
+    mut body: Incoming,
     timeout_ms: u64,
-) -> Result<Bytes, Refusal> {
-    if hyper::body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
-    }
-    let limited = Limited::new(body, max_body_bytes(configuration, route));
-    let reading =
-        tokio::time::timeout(Duration::from_millis(timeout_ms), limited.collect());
-    match reading.await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(
-            Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
-        ),
-        Ok(Err(_)) => Err(Refusal::denied(StatusCode::BAD_REQUEST, "body_broken_off")),
-        Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "body_late")),
+) -> Result<Collected, Refusal> {
+    let max_bytes = max_body_bytes(configuration, route);
+    let timeout = Duration::from_millis(timeout_ms);
+    let reading = collect_request(&edge.request_memory, &mut body, max_bytes);
+    let read = tokio::time::timeout(timeout, reading).await;
+    let error = match read.unwrap_or(Err(CollectError::TimedOut)) {
+        Ok(collected) => return Ok(collected),
+        Err(error) => error,
+    };
+    match error {
+        CollectError::TooLong | CollectError::OutOfMemory => {
+            discard(body, max_bytes, timeout);
+        }
+        CollectError::BrokenOff | CollectError::TimedOut => {}
     }
+    Err(match error {
+        CollectError::TooLong => {
+            Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
+        }
+        CollectError::OutOfMemory => {
+            Refusal::retry_later("out_of_memory", NO_CAPACITY_RETRY_AFTER_MS)
+                .closing_connection()
+        }
+        CollectError::BrokenOff => {
+            Refusal::denied(StatusCode::BAD_REQUEST, "body_broken_off")
+        }
+        CollectError::TimedOut => {
+            Refusal::denied(StatusCode::REQUEST_TIMEOUT, "body_late")
+        }
+    })
 }
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -22,7 +22,7 @@
     overload_refusal, quota_request, read_body,
 };
 use crate::edge::body::CallBody;
-use crate::edge::collect::{CollectError, collect};
+use crate::edge::collect::{Claim, CollectError, Collected, collect_response};
 use crate::edge::exchange::{
     EndpointResponse, OutgoingRequest, SendTimeouts, send, set_aside,
 };
@@ -82,6 +82,8 @@
     pub service: String,
     pub call: CallHead,
     pub outgoing: OutgoingRequest,
+    /// Memory of the body that the caller sent.
+    _body_claim: Claim,
     pub arrived_ms: u64,
     /// Time limit, in milliseconds from the arrival: the caller's deadline or the route's
     /// timeout, whichever is shorter.
@@ -229,7 +231,10 @@
     let service = choose_service(&route);
     check_endpoints(edge, &service)?;
     check_group(edge, &route, &call, customer.is_some())?;
-    let body = read_body(&configuration, &route, body, timeout_ms).await?;
+    let Collected {
+        content: body,
+        claim: body_claim,
+    } = read_body(edge, &configuration, &route, body, timeout_ms).await?;
     let target = origin_form(parts);
     let fingerprints = RequestFingerprints::of(&RequestIdentity {
         method: parts.method.as_str(),
@@ -266,6 +271,7 @@
             priority: engine.map(|_| engine_priority(rank, program_time_left_ms(&call))),
             max_idle: max_connections / IDLE_CONNECTION_DIVISOR + MIN_IDLE_CONNECTIONS,
         },
+        _body_claim: body_claim,
         route,
         call,
         arrived_ms,
@@ -304,7 +310,7 @@
         let sent_ms = now_ms();
         let upstream = send(edge, &pick, &admitted.outgoing, None, timeouts).await;
         let outcome = match upstream {
-            Ok(upstream) => match collect_response(edge, admitted, upstream).await {
+            Ok(upstream) => match read_response(edge, admitted, upstream).await {
                 Ok(complete) => {
                     let is_failure = complete.status().is_server_error();
                     edge.record_endpoint_response(
@@ -356,13 +362,13 @@
 }
 
 /// Reads the whole response, until the caller's deadline.
-async fn collect_response(
+async fn read_response(
     edge: &Edge,
     admitted: &AdmittedCall,
     upstream: EndpointResponse,
 ) -> Result<Response<CallBody>, CollectError> {
     let time_left = Duration::from_millis(admitted.time_left_ms());
-    let collected = collect(&edge.body_memory, upstream.body);
+    let collected = collect_response(&edge.response_memory, upstream.body);
     let collected = tokio::time::timeout(time_left, collected).await;
     let content = collected.unwrap_or(Err(CollectError::TimedOut))?;
     let headers = edge.protocol.caller_headers(&upstream.headers);
--- a/crates/gateway/src/edge/collect.rs
+++ b/crates/gateway/src/edge/collect.rs
@@ -1,18 +1,25 @@
-//! Reads whole response bodies of endpoints into memory, within limits for each body and for all
-//! bodies that are being read.
+//! Reads whole bodies into memory, within limits for each body and for all of them.
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
-/// Largest body, in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest body of a response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// Share of the memory limit for all bodies that are being read, as a divisor.
-const MEMORY_DIVISOR: usize = 8;
+/// Share of the memory limit for all response bodies that are being read, as a divisor.
+const RESPONSES_DIVISOR: usize = 8;
+
+/// Share of the memory limit for all request bodies, as a divisor.
+const REQUESTS_DIVISOR: usize = 4;
+
+/// Length up to which request bodies do not count, in bytes, so that a few long ones do not keep
+/// others away. Longer than almost all.
+const FREE_REQUEST_BYTES: usize = 32 << 10;
 
 /// Size of the blocks into which a body is read, in bytes.
 const BLOCK_BYTES: usize = 64 << 10;
@@ -41,25 +48,44 @@
     }
 }
 
-/// Memory of the bodies that are being read.
+/// Memory of many bodies.
 #[derive(Debug)]
 pub(crate) struct BodyMemory {
     used_bytes: Cell<usize>,
     max_bytes: usize,
+    /// Length up to which a collected body does not count.
+    free_bytes: usize,
 }
 
 impl BodyMemory {
-    /// For a process with a memory limit in megabytes.
-    pub(crate) fn new(memory_mb: u64) -> BodyMemory {
+    /// For the response bodies of a process with a memory limit in megabytes.
+    pub(crate) fn for_responses(memory_mb: u64) -> BodyMemory {
+        BodyMemory::new(memory_mb, RESPONSES_DIVISOR, 0)
+    }
+
+    /// For the request bodies of such a process.
+    pub(crate) fn for_requests(memory_mb: u64) -> BodyMemory {
+        BodyMemory::new(memory_mb, REQUESTS_DIVISOR, FREE_REQUEST_BYTES)
+    }
+
+    fn new(memory_mb: u64, divisor: usize, free_bytes: usize) -> BodyMemory {
         let memory_bytes = usize::try_from(memory_mb.saturating_mul(1_000_000));
         BodyMemory {
             used_bytes: Cell::new(0),
-            max_bytes: memory_bytes.unwrap_or(usize::MAX) / MEMORY_DIVISOR,
+            max_bytes: memory_bytes.unwrap_or(usize::MAX) / divisor,
+            free_bytes,
         }
     }
+
+    /// Whether a body of this length fits now.
+    fn has_room_for(&self, bytes: usize) -> bool {
+        let claimed_bytes = bytes.saturating_sub(self.free_bytes);
+        claimed_bytes <= self.max_bytes.saturating_sub(self.used_bytes.get())
+    }
 }
 
 /// Memory of one body. Gives it back when it is dropped.
+#[derive(Debug)]
 pub(crate) struct Claim {
     memory: Rc<BodyMemory>,
     bytes: usize,
@@ -104,20 +130,57 @@
     }
 }
 
-/// Reads a body to its end.
+/// A body that was read, and its memory.
+#[derive(Debug)]
+pub(crate) struct Collected {
+    pub content: Bytes,
+    pub claim: Claim,
+}
+
+/// Length of a body as announced by its sender. 0 if it is not announced.
+fn announced_bytes(body: &Incoming) -> usize {
+    usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX)
+}
+
+/// Reads a request body. One that does not fit at the moment is not read at all if its sender
+/// announces the length.
+pub(crate) async fn collect_request(
+    memory: &Rc<BodyMemory>,
+    body: &mut Incoming,
+    max_bytes: usize,
+) -> Result<Collected, CollectError> {
+    let announced_bytes = announced_bytes(body);
+    match announced_bytes <= max_bytes && !memory.has_room_for(announced_bytes) {
+        true => Err(CollectError::OutOfMemory),
+        false => collect(memory, body, max_bytes).await,
+    }
+}
+
+/// Reads a response body. Unlike a request, it is worth reading even if it does not fit at the
+/// moment: the request has run.
+pub(crate) async fn collect_response(
+    memory: &Rc<BodyMemory>,
+    mut body: Incoming,
+) -> Result<Bytes, CollectError> {
+    let collected = collect(memory, &mut body, MAX_RESPONSE_BYTES).await;
+    collected.map(|collected| collected.content)
+}
+
+/// Reads a body of at most `max_bytes` to its end.
 ///
 /// # Errors
 ///
 /// If the body breaks off or exceeds a limit. The rest of it is not read.
-pub(crate) async fn collect(
+async fn collect(
     memory: &Rc<BodyMemory>,
-    mut body: Incoming,
-) -> Result<Bytes, CollectError> {
-    let announced = body.size_hint().lower();
-    if announced > MAX_BODY_BYTES as u64 {
+    body: &mut Incoming,
+    max_bytes: usize,
+) -> Result<Collected, CollectError> {
+    if announced_bytes(body) > max_bytes {
         return Err(CollectError::TooLong);
     }
     let mut claim = Claim::new(memory);
+    let mut body_bytes = 0;
     // The blocks are joined once at the end: a buffer that grows would take three times the
     // length of the body. They are filled by copying, since a body may arrive in tiny pieces.
     let mut blocks: Vec<BytesMut> = Vec::new();
@@ -126,22 +189,39 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if claim.bytes + data.len() > MAX_BODY_BYTES {
+        body_bytes += data.len();
+        if body_bytes > max_bytes {
             return Err(CollectError::TooLong);
         }
-        if !claim.grow(data.len()) {
+        if !claim.resize(body_bytes.saturating_sub(memory.free_bytes)) {
             return Err(CollectError::OutOfMemory);
         }
         append(&mut blocks, &data);
     }
     if blocks.len() == 1 {
-        return Ok(blocks.remove(0).freeze());
+        let content = blocks.remove(0).freeze();
+        return Ok(Collected { content, claim });
     }
-    let mut content = BytesMut::with_capacity(claim.bytes);
+    let mut content = BytesMut::with_capacity(body_bytes);
     for block in blocks {
         content.extend_from_slice(&block);
     }
-    Ok(content.freeze())
+    let content = content.freeze();
+    Ok(Collected { content, claim })
+}
+
+/// Reads the rest of a request body that is not used, in the background, so that the caller can
+/// send it and then read why it was refused. Gives up after `max_bytes` or `timeout`.
+pub(crate) fn discard(mut body: Incoming, max_bytes: usize, timeout: Duration) {
+    tokio::task::spawn_local(tokio::time::timeout(timeout, async move {
+        let mut body_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            body_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if body_bytes > max_bytes {
+                return;
+            }
+        }
+    }));
 }
 
 /// Appends data to the last block, and to new ones once that is full.
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -92,8 +92,10 @@
     /// Requests that may crash endpoints.
     suspects: RefCell<SuspectTable>,
     pub turns: RefCell<TurnCache>,
+    /// Memory of the request bodies.
+    pub request_memory: Rc<BodyMemory>,
     /// Memory of the response bodies that are being read.
-    pub body_memory: Rc<BodyMemory>,
+    pub response_memory: Rc<BodyMemory>,
     /// By program: the endpoint that handled its last request. The next one prefers it.
     pub affinity: RefCell<HashMap<String, String>>,
     /// Set once a list of endpoints has been received, even an empty one.
@@ -125,10 +127,11 @@
         protocol: Box<dyn CallProtocol>,
     ) -> Edge {
         let zone = settings.availability_zone.clone();
-        let body_memory = Rc::new(BodyMemory::new(settings.limits.memory_mb));
+        let memory_mb = settings.limits.memory_mb;
         Edge {
             settings,
-            body_memory,
+            request_memory: Rc::new(BodyMemory::for_requests(memory_mb)),
+            response_memory: Rc::new(BodyMemory::for_responses(memory_mb)),
             protocol,
             store,
             configuration: RefCell::default(),
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -17,7 +17,7 @@
 use crate::edge::Edge;
 use crate::edge::body::{BodyChunk, CallBody};
 use crate::edge::call::{AdmittedCall, final_refusal, pick_endpoint};
-use crate::edge::collect::collect;
+use crate::edge::collect::collect_response;
 use crate::edge::exchange::{EndpointResponse, PooledConnection, send};
 use crate::edge::refusal::Refusal;
 use crate::edge::stream_memory::StreamMemory;
@@ -134,7 +134,7 @@
             tried: Vec::new(),
             current: None,
             output: BytesMut::new(),
-            memory: StreamMemory::new(&edge.body_memory),
+            memory: StreamMemory::new(&edge.response_memory),
         }
     }
 
@@ -346,7 +346,7 @@
     stream: EndpointStream,
 ) -> Result<Response<CallBody>, Refusal> {
     let time_left = Duration::from_millis(call.admitted.time_left_ms());
-    let collected = collect(&call.edge.body_memory, stream.body);
+    let collected = collect_response(&call.edge.response_memory, stream.body);
     let collected = tokio::time::timeout(time_left, collected).await;
     let Ok(Ok(content)) = collected else {
         return Err(final_refusal(&call.admitted, Step::FailUnknown));
