Clear a request that ends well after it was given up

Cause: the crashes counted as three of the request before a copy of it had ended well, and a good end did not clear what had been given up, nor was one before the crash looked at. Ruled out: good ends that are not reported; the members got them and left the request as it was. Change: a good end clears a request at any time. Members remember that for 60 s against late reports and tell the entry instances; these do not report what ended well there within 60 s. Families are cleared as before. Conclusion: fixed, if any copy ends well. Without one the request stays refused.

--- a/crates/gateway/src/edge/crashes.rs
+++ b/crates/gateway/src/edge/crashes.rs
@@ -116,7 +116,8 @@
         }
     }
 
-    /// Records that a request has ended well. It is no suspect any more, and its family neither.
+    /// Records that a request has ended well. It is no suspect any more, and neither is its family,
+    /// unless that was given up.
     pub(crate) fn clear_suspicion(&self, fingerprints: &RequestFingerprints) {
         let mut suspects = self.suspects.borrow_mut();
         let cleared = suspects.record_good_end(now_ms(), fingerprints);
@@ -135,7 +136,7 @@
     pub(crate) fn apply_suspects(&self, requested_ms: u64, shared: SharedSuspects) {
         let mut suspects = self.suspects.borrow_mut();
         let forgotten = suspects.apply(requested_ms, shared);
-        let cleared = suspects.clear_good_families(now_ms());
+        let cleared = suspects.clear_good_ends(now_ms());
         drop(suspects);
         self.clear_at_members(cleared);
         if !forgotten.is_empty() {
--- a/crates/gateway/src/storage/requests.rs
+++ b/crates/gateway/src/storage/requests.rs
@@ -83,7 +83,7 @@
             }
             MemberRequest::ClearSuspects(requests) => {
                 for fingerprint in requests {
-                    self.crash_suspects.clear(fingerprint);
+                    self.crash_suspects.clear(now_ms, fingerprint);
                 }
                 vec![reply_now(MemberResponse::Done)]
             }
--- a/crates/gateway/src/suspect_table.rs
+++ b/crates/gateway/src/suspect_table.rs
@@ -15,11 +15,32 @@
 /// another.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Time for which a family is good after a request of it has ended well, in milliseconds.
-const GOOD_FAMILY_MS: u64 = 60_000;
+/// Time for which a request and its family are not suspected after it has ended well, in
+/// milliseconds.
+const GOOD_END_MS: u64 = 60_000;
 
-/// Number of good families that are remembered.
-const MAX_GOOD_FAMILIES: usize = 16_384;
+/// Number of good ends that are remembered, of requests and of families.
+const MAX_GOOD_ENDS: usize = 16_384;
+
+/// When requests with a fingerprint last ended well. Cleared when it has [`MAX_GOOD_ENDS`] entries.
+#[derive(Debug, Default)]
+struct GoodEnds {
+    ended_ms: HashMap<Fingerprint, u64>,
+}
+
+impl GoodEnds {
+    fn record(&mut self, now_ms: u64, fingerprint: Fingerprint) {
+        if self.ended_ms.len() >= MAX_GOOD_ENDS {
+            self.ended_ms.clear();
+        }
+        self.ended_ms.insert(fingerprint, now_ms);
+    }
+
+    fn has_recent(&self, now_ms: u64, fingerprint: Fingerprint) -> bool {
+        let ended_ms = self.ended_ms.get(&fingerprint);
+        ended_ms.is_some_and(|ended_ms| now_ms < ended_ms + GOOD_END_MS)
+    }
+}
 
 /// Suspects of this instance's own and of other instances' requests.
 #[derive(Debug, Default)]
@@ -28,9 +49,10 @@
     version: SuspectsVersion,
     /// Number of crashes, and when the last one was. At most [`MAX_SUSPECTS`].
     suspects: HashMap<Fingerprint, (u32, u64)>,
-    /// Families of which a request has ended well, and when. Cleared when it has
-    /// [`MAX_GOOD_FAMILIES`] entries.
-    good_families: HashMap<Fingerprint, u64>,
+    /// Requests that have ended well. None of them crashes endpoints.
+    good_requests: GoodEnds,
+    /// Families of which a request has ended well. Others of them may crash endpoints.
+    good_families: GoodEnds,
 }
 
 impl SuspectTable {
@@ -65,55 +87,58 @@
             .any(|fingerprint| self.crashes(*fingerprint) > 0)
     }
 
-    /// The report of a crash in which `lost` were lost. A family of which a request has recently
-    /// ended well is left out.
+    /// The report of a crash in which `lost` were lost. Requests that have recently ended well are
+    /// left out, and families of which one has.
     pub fn crash_report(
         &self,
         now_ms: u64,
         run: EndpointRun,
         lost: &[RequestFingerprints],
     ) -> CrashReport {
+        let requests = lost.iter().map(|request| request.exact);
         let families = lost.iter().map(|request| request.family);
         let families: HashSet<Fingerprint> = families
-            .filter(|family| !self.is_good_family(now_ms, *family))
+            .filter(|family| !self.good_families.has_recent(now_ms, *family))
             .collect();
         CrashReport {
             run,
-            requests: lost.iter().map(|request| request.exact).collect(),
+            requests: requests
+                .filter(|request| !self.good_requests.has_recent(now_ms, *request))
+                .collect(),
             families: families.into_iter().collect(),
         }
     }
 
-    fn is_good_family(&self, now_ms: u64, family: Fingerprint) -> bool {
-        let ended_ms = self.good_families.get(&family);
-        ended_ms.is_some_and(|ended_ms| now_ms < ended_ms + GOOD_FAMILY_MS)
-    }
-
     /// Records that a request has ended well. Returns what is no suspect any more.
     pub fn record_good_end(
         &mut self,
         now_ms: u64,
         request: &RequestFingerprints,
     ) -> Vec<Fingerprint> {
-        if self.good_families.len() >= MAX_GOOD_FAMILIES {
-            self.good_families.clear();
-        }
-        self.good_families.insert(request.family, now_ms);
-        let suspects = request.all().into_iter();
-        suspects
-            .filter(|fingerprint| self.clear(*fingerprint))
+        self.good_requests.record(now_ms, request.exact);
+        self.good_families.record(now_ms, request.family);
+        self.clear_request(request.exact)
+            .into_iter()
+            .chain(self.clear_family(request.family))
             .collect()
     }
 
-    /// Clears the families of which a request has recently ended well. Returns them.
-    pub fn clear_good_families(&mut self, now_ms: u64) -> Vec<Fingerprint> {
-        let suspects = self.suspects.keys().copied();
-        let good: Vec<Fingerprint> = suspects
-            .filter(|suspect| self.is_good_family(now_ms, *suspect))
-            .collect();
-        good.into_iter()
-            .filter(|family| self.clear(*family))
-            .collect()
+    /// Clears the suspects that have recently ended well. Returns them.
+    pub fn clear_good_ends(&mut self, now_ms: u64) -> Vec<Fingerprint> {
+        let suspects: Vec<Fingerprint> = self.suspects.keys().copied().collect();
+        let mut cleared = Vec::new();
+        for suspect in suspects {
+            cleared.extend(match suspect {
+                _ if self.good_requests.has_recent(now_ms, suspect) => {
+                    self.clear_request(suspect)
+                }
+                _ if self.good_families.has_recent(now_ms, suspect) => {
+                    self.clear_family(suspect)
+                }
+                _ => None,
+            });
+        }
+        cleared
     }
 
     /// Takes the number of crashes that a member has counted for a request.
@@ -130,11 +155,18 @@
         let Some(listed) = shared.suspects else {
             return Vec::new();
         };
-        let before = std::mem::take(&mut self.suspects);
+        let mut before = std::mem::take(&mut self.suspects);
         for suspect in &listed {
             let last_ms = requested_ms.saturating_sub(suspect.age_ms);
-            self.suspects
-                .insert(suspect.fingerprint, (suspect.crashes, last_ms));
+            match suspect.crashes {
+                0 => {
+                    before.remove(&suspect.fingerprint);
+                }
+                crashes => {
+                    let known = (crashes, last_ms);
+                    self.suspects.insert(suspect.fingerprint, known);
+                }
+            }
         }
         let mut missing = Vec::new();
         for (fingerprint, (crashes, last_ms)) in before {
@@ -159,10 +191,18 @@
         missing
     }
 
-    /// Removes a suspect that has ended well. Returns whether it was one. A request that was given
-    /// up stays.
-    fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        !self.has_given_up(fingerprint) && self.suspects.remove(&fingerprint).is_some()
+    /// Removes a request that has ended well. Returns it if it was a suspect.
+    fn clear_request(&mut self, request: Fingerprint) -> Option<Fingerprint> {
+        self.suspects.remove(&request).map(|_| request)
+    }
+
+    /// Removes a family of which a request has ended well. Returns it if it was a suspect. One that
+    /// was given up stays.
+    fn clear_family(&mut self, family: Fingerprint) -> Option<Fingerprint> {
+        match self.has_given_up(family) {
+            true => None,
+            false => self.clear_request(family),
+        }
     }
 
     /// Forgets suspects whose last crash is long ago.
--- a/crates/ledger/src/crash_suspects.rs
+++ b/crates/ledger/src/crash_suspects.rs
@@ -1,8 +1,9 @@
 //! Requests that may crash the endpoints that run them.
 //!
 //! When an endpoint crashes, all requests that were lost with it are suspects, and most of them
-//! are innocent. A suspect that ends well elsewhere is cleared. One that was lost in
-//! [`MAX_CRASHES`] crashes without ending well is not sent to endpoints any more.
+//! are innocent. One that was lost in [`MAX_CRASHES`] crashes is not sent to endpoints any more. A
+//! request that ends well, before or after that, is cleared: several endpoints may have crashed
+//! together for another reason, while copies of it ran at each of them.
 //!
 //! Suspects are requests and families of related requests
 //! ([`crate::RequestFingerprints`]). Many different requests may be of one family, so a second
@@ -91,9 +92,9 @@
 pub struct Suspect {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// Crashes in which it was lost.
+    /// Crashes in which it was lost. 0 if it was given up, and then ended well.
     pub crashes: u32,
-    /// Time since the last one, in milliseconds.
+    /// Time since the last one, or since it ended well, in milliseconds.
     pub age_ms: u64,
 }
 
@@ -128,6 +129,10 @@
 #[derive(Debug)]
 struct KnownSuspect {
     kind: SuspectKind,
+    /// Set if it was given up, and then ended well. No crashes count for it as long as it is
+    /// remembered, so that late reports do not matter, and other instances are told of it.
+    is_cleared: bool,
+    /// 0 once it is cleared.
     crashes: u32,
     first_ms: u64,
     /// The newest crashes, at most [`MAX_CRASHES`], and when each was reported first.
@@ -144,7 +149,7 @@
     fn is_shared(&self) -> bool {
         match self.kind {
             SuspectKind::Family => true,
-            SuspectKind::Request => self.crashes >= MIN_SHARED_CRASHES,
+            SuspectKind::Request => self.is_cleared || self.crashes >= MIN_SHARED_CRASHES,
         }
     }
 
@@ -157,7 +162,7 @@
         let is_early = self.kind == SuspectKind::Family
             && self.crashes > 0
             && now_ms < self.first_ms + FAMILY_OBJECTION_MS;
-        if is_known || is_early {
+        if is_known || is_early || self.is_cleared {
             return false;
         }
         if self.recent.len() >= MAX_CRASHES as usize {
@@ -255,6 +260,7 @@
         let suspects = self.suspects.entry(fingerprint);
         let suspect = suspects.or_insert_with(|| KnownSuspect {
             kind,
+            is_cleared: false,
             crashes: 0,
             first_ms: now_ms,
             recent: Vec::new(),
@@ -269,10 +275,22 @@
         suspect.crashes == MAX_CRASHES
     }
 
-    /// Removes a suspect that has ended well. One that was given up stays.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        if self.crashes(fingerprint) >= MAX_CRASHES {
+    /// Clears a suspect that has ended well. A family that was given up stays.
+    pub fn clear(&mut self, now_ms: u64, fingerprint: Fingerprint) {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return;
+        };
+        match suspect.kind {
+            _ if suspect.is_cleared => return,
+            SuspectKind::Family if suspect.crashes >= MAX_CRASHES => return,
+            SuspectKind::Request if suspect.crashes >= MAX_CRASHES => {
+                suspect.is_cleared = true;
+                suspect.crashes = 0;
+                suspect.last_ms = now_ms;
+                self.version.sequence += 1;
+                return;
+            }
+            SuspectKind::Family | SuspectKind::Request => {}
         }
         let removed = self.suspects.remove(&fingerprint);
         if removed.is_some_and(|suspect| suspect.is_shared()) {
@@ -286,14 +304,17 @@
             .iter()
             .filter(|suspect| suspect.crashes >= MAX_CRASHES);
         for suspect in given_up {
-            if self.crashes(suspect.fingerprint) >= MAX_CRASHES {
+            let known = self.suspects.get(&suspect.fingerprint);
+            if known.is_some_and(|known| known.is_cleared || known.crashes >= MAX_CRASHES)
+            {
                 continue;
             }
             self.make_room(suspect.fingerprint);
             let last_ms = now_ms.saturating_sub(suspect.age_ms);
             let known = KnownSuspect {
-                // Makes no difference for one that is given up.
+                // Families that were given up are not cleared by those who know them.
                 kind: SuspectKind::Request,
+                is_cleared: false,
                 crashes: suspect.crashes,
                 first_ms: last_ms,
                 recent: Vec::new(),
