--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -34,8 +34,8 @@
     pub members: Vec<Member>,
     /// Members of the newest settled version before this one. Empty in the first one.
     ///
-    /// Any [`read_quorum`] of them that are complete in the version before this one hold all records
-    /// of the versions before this one.
+    /// Any read quorum of them that were complete in the version before this one hold all earlier
+    /// records together.
     pub previous: Vec<Member>,
     /// Number of disks that may be lost at the same time without a loss of records. Set by
     /// the instance that creates the first group.
@@ -169,6 +169,7 @@
     members / 2 + 1
 }
 
+/// See [`Group::copies`].
 fn copies(members: usize, tolerated_losses: usize) -> usize {
     let copies_for_readers = (members + 1).saturating_sub(quorum(members));
     let copies_for_losses = tolerated_losses + 1;
