--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -13,7 +13,7 @@
 use crate::config::{CallKind, Configuration, Customer, Route};
 use crate::edge::Edge;
 use crate::edge::call::{NO_CAPACITY_RETRY_AFTER_MS, NO_ENDPOINT_RETRY_AFTER_MS};
-use crate::edge::collect::{CollectError, Collected, collect_request, discard};
+use crate::edge::collect::{CollectError, Collected, collect_request};
 use crate::edge::members::STORAGE_FULL_PAUSE_MS;
 use crate::edge::refusal::Refusal;
 use crate::protocol::CallHead;
@@ -213,24 +213,14 @@
     edge: &Edge,
     configuration: &Configuration,
     route: &Route,
-    mut body: Incoming,
+    body: Incoming,
     timeout_ms: u64,
 ) -> Result<Collected, Refusal> {
     let max_bytes = max_body_bytes(configuration, route);
     let timeout = Duration::from_millis(timeout_ms);
-    let reading = collect_request(&edge.request_memory, &mut body, max_bytes);
-    let read = tokio::time::timeout(timeout, reading).await;
-    let error = match read.unwrap_or(Err(CollectError::TimedOut)) {
-        Ok(collected) => return Ok(collected),
-        Err(error) => error,
-    };
-    match error {
-        CollectError::TooLong | CollectError::OutOfMemory => {
-            discard(body, max_bytes, timeout);
-        }
-        CollectError::BrokenOff | CollectError::TimedOut => {}
-    }
-    Err(match error {
+    let memory = &edge.request_memory;
+    let collected = collect_request(memory, body, max_bytes, timeout).await;
+    collected.map_err(|error| match error {
         CollectError::TooLong => {
             Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
         }
--- a/crates/gateway/src/edge/collect.rs
+++ b/crates/gateway/src/edge/collect.rs
@@ -77,10 +77,14 @@
         }
     }
 
-    /// Whether a body of this length fits now.
+    /// The part of a body of this length that counts.
+    fn counted_bytes(&self, body_bytes: usize) -> usize {
+        body_bytes.saturating_sub(self.free_bytes)
+    }
+
+    /// Whether this much can be claimed now.
     fn has_room_for(&self, bytes: usize) -> bool {
-        let claimed_bytes = bytes.saturating_sub(self.free_bytes);
-        claimed_bytes <= self.max_bytes.saturating_sub(self.used_bytes.get())
+        bytes <= self.max_bytes.saturating_sub(self.used_bytes.get())
     }
 }
 
@@ -113,10 +117,10 @@
 
     /// Claims more memory. Returns false if there is not enough.
     fn grow(&mut self, bytes: usize) -> bool {
-        let used_bytes = self.memory.used_bytes.get() + bytes;
-        let fits = used_bytes <= self.memory.max_bytes;
+        let fits = self.memory.has_room_for(bytes);
         if fits {
-            self.memory.used_bytes.set(used_bytes);
+            let used_bytes = &self.memory.used_bytes;
+            used_bytes.set(used_bytes.get() + bytes);
             self.bytes += bytes;
         }
         fits
@@ -142,18 +146,28 @@
     usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX)
 }
 
-/// Reads a request body. One that does not fit at the moment is not read at all if its sender
-/// announces the length.
+/// Reads a request body within a time. One that does not fit at the moment is refused at once if its
+/// sender announces the length. The rest of a body beyond a limit is discarded.
 pub(crate) async fn collect_request(
     memory: &Rc<BodyMemory>,
-    body: &mut Incoming,
+    mut body: Incoming,
     max_bytes: usize,
+    timeout: Duration,
 ) -> Result<Collected, CollectError> {
-    let announced_bytes = announced_bytes(body);
-    match announced_bytes <= max_bytes && !memory.has_room_for(announced_bytes) {
+    let announced_bytes = announced_bytes(&body);
+    let has_room = memory.has_room_for(memory.counted_bytes(announced_bytes));
+    let collected = match announced_bytes <= max_bytes && !has_room {
         true => Err(CollectError::OutOfMemory),
-        false => collect(memory, body, max_bytes).await,
+        false => {
+            let reading = collect(memory, &mut body, max_bytes);
+            let read = tokio::time::timeout(timeout, reading).await;
+            read.unwrap_or(Err(CollectError::TimedOut))
+        }
+    };
+    if let Err(CollectError::TooLong | CollectError::OutOfMemory) = collected {
+        discard(body, max_bytes, timeout);
     }
+    collected
 }
 
 /// Reads a response body. Unlike a request, it is worth reading even if it does not fit at the
@@ -193,7 +207,7 @@
         if body_bytes > max_bytes {
             return Err(CollectError::TooLong);
         }
-        if !claim.resize(body_bytes.saturating_sub(memory.free_bytes)) {
+        if !claim.resize(memory.counted_bytes(body_bytes)) {
             return Err(CollectError::OutOfMemory);
         }
         append(&mut blocks, &data);
@@ -212,7 +226,7 @@
 
 /// Reads the rest of a request body that is not used, in the background, so that the caller can
 /// send it and then read why it was refused. Gives up after `max_bytes` or `timeout`.
-pub(crate) fn discard(mut body: Incoming, max_bytes: usize, timeout: Duration) {
+fn discard(mut body: Incoming, max_bytes: usize, timeout: Duration) {
     tokio::task::spawn_local(tokio::time::timeout(timeout, async move {
         let mut body_bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -62,15 +62,22 @@
     assert_eq!(proposal, Some(Proposal::Leave));
 }
 
+/// A group of the members b and c, and what a spare knows of it that has asked both for their status.
+fn monitored_pair(have_responded: [bool; 2]) -> (Group, MemberMonitor) {
+    let pair = group().replace(Some("a"), None).settle();
+    let mut monitor = MemberMonitor::default();
+    for (member, has_responded) in pair.members.iter().zip(have_responded) {
+        monitor.record_status(0, &member.name, has_responded);
+    }
+    (pair, monitor)
+}
+
 // Guards against a group of two that serves no turn any more after one member is lost for good, and
 // against a next version that still needs that member.
 #[test]
 fn spare_takes_the_place_of_a_silent_member_of_a_group_of_two() {
-    let pair = group().replace(Some("a"), None).settle();
     let spare = member("d");
-    let mut monitor = MemberMonitor::default();
-    monitor.record_status(0, "b", true);
-    monitor.record_status(0, "c", false);
+    let (pair, mut monitor) = monitored_pair([true, false]);
     for now_ms in [0, REPLACE_AFTER_MS - 1] {
         let proposal = monitor.propose(now_ms, &pair, &spare, &[], 1);
         assert_eq!(proposal, None, "at {now_ms} ms");
@@ -83,10 +90,7 @@
 // Guards against a spare that waits for a member that responds but has lost its disk.
 #[test]
 fn spare_joins_a_group_of_two_of_which_one_catches_up() {
-    let pair = group().replace(Some("a"), None).settle();
-    let mut monitor = MemberMonitor::default();
-    monitor.record_status(0, "b", true);
-    monitor.record_status(0, "c", true);
+    let (pair, mut monitor) = monitored_pair([true, true]);
     let proposal = monitor.propose(0, &pair, &member("d"), &[], 1);
     assert_eq!(proposal, Some(Proposal::Join { leaving: None }));
 }
@@ -94,10 +98,7 @@
 // Guards against a change by a spare that reaches no member that holds all records.
 #[test]
 fn spare_waits_for_a_member_that_votes() {
-    let pair = group().replace(Some("a"), None).settle();
-    let mut monitor = MemberMonitor::default();
-    monitor.record_status(0, "b", false);
-    monitor.record_status(0, "c", false);
+    let (pair, mut monitor) = monitored_pair([false, false]);
     let proposal = monitor.propose(60_000, &pair, &member("d"), &[], 0);
     assert_eq!(proposal, None);
 }
--- a/crates/ledger/tests/group.rs
+++ b/crates/ledger/tests/group.rs
@@ -3,6 +3,12 @@
 use jayreel_ledger::{CatchUp, Group, Member, MembershipState, VoteHistory};
 use test_case::test_case;
 
+/// Of an instance that has not been a member, with its first disk.
+const NEVER_VOTED: VoteHistory = VoteHistory {
+    complete_version: None,
+    recorded_from: Some(1),
+};
+
 /// A member in an availability zone of its own.
 fn member(name: &str) -> Member {
     Member {
@@ -16,6 +22,16 @@
     names.iter().map(|name| member(name)).collect()
 }
 
+/// The first version of a group of `size` members.
+fn group_of(size: usize, tolerated_losses: usize) -> Group {
+    Group {
+        version: 1,
+        members: (0..size).map(|n| member(&n.to_string())).collect(),
+        previous: Vec::new(),
+        tolerated_losses,
+    }
+}
+
 fn member_in_zone(name: &str, zone: &str) -> Member {
     Member {
         availability_zone: zone.to_string(),
@@ -44,13 +60,7 @@
 #[test]
 fn copies_of_a_turn_survive_tolerated_losses_and_meet_every_quorum() {
     for (size, losses) in [(3, 1), (5, 2), (2, 1), (4, 1)] {
-        let names: Vec<String> = (0..size).map(|n| n.to_string()).collect();
-        let group = Group {
-            version: 1,
-            members: names.iter().map(|name| member(name)).collect(),
-            previous: Vec::new(),
-            tolerated_losses: losses,
-        };
+        let group = group_of(size, losses);
         assert!(group.copies() > losses, "{size} members");
         assert!(group.copies() + group.quorum() > size, "{size} members");
     }
@@ -70,13 +80,7 @@
     losses: usize,
     needed: usize,
 ) {
-    let names: Vec<String> = (0..size).map(|n| n.to_string()).collect();
-    let group = Group {
-        version: 1,
-        members: names.iter().map(|name| member(name)).collect(),
-        previous: Vec::new(),
-        tolerated_losses: losses,
-    };
+    let group = group_of(size, losses);
     assert_eq!(group.quorum_to_change(), needed);
     assert!(needed + group.quorum() > size, "a vote may be missed");
     assert!(needed + group.copies() > size, "a turn may be missed");
@@ -90,11 +94,7 @@
     let reduced = first.replace(Some("c"), None);
     assert_eq!(reduced.quorum_to_change(), 2);
     let group = reduced.replace(None, Some(member("d")));
-    let votes = VoteHistory {
-        complete_version: None,
-        recorded_from: Some(1),
-    };
-    let mut plan = plan_of(&group, "d", votes);
+    let mut plan = plan_of(&group, "d", NEVER_VOTED);
     plan.mark_copied("a");
     assert!(!plan.is_complete(), "a record may have its only copy on b");
     plan.mark_copied("b");
@@ -105,13 +105,9 @@
 #[test]
 fn spare_copies_from_one_member_of_a_group_of_two() {
     let pair = Group::first(&members(&["a", "b"]), 1);
-    let votes = VoteHistory {
-        complete_version: None,
-        recorded_from: Some(1),
-    };
     for leaving in [None, Some("b")] {
         let group = pair.replace(leaving, Some(member("d")));
-        let mut plan = plan_of(&group, "d", votes);
+        let mut plan = plan_of(&group, "d", NEVER_VOTED);
         assert!(!plan.is_complete());
         plan.mark_copied("a");
         assert!(plan.is_complete(), "{leaving:?}");
@@ -163,11 +159,7 @@
 fn new_member_does_not_wait_for_one_that_lost_its_disk() {
     let first = Group::first(&members(&["a", "b", "c"]), 1);
     let group = first.replace(Some("a"), Some(member("d")));
-    let joined = VoteHistory {
-        complete_version: None,
-        recorded_from: Some(1),
-    };
-    let mut joining = plan_of(&group, "d", joined);
+    let mut joining = plan_of(&group, "d", NEVER_VOTED);
     joining.mark_copied("a");
     joining.mark_copied("b");
     assert!(joining.is_complete(), "without c, which lost its disk");
