Evacuate availability zones on request of the operator

Cause: the operator of the users' platform takes a zone out of service by writing `op/evacuate/ZONE`. Entry instances went on sending requests there, since only endpoints' own entries counted.

Change: `MetadataStore::evacuations` lists the keys, only where `Bounds::evacuation_ms` is set. The set travels in `SharedConfiguration`, ordered by the store's revision (`evacuation_view.rs`); the last known set stays in force while the store is unreachable. `Balancer` excludes endpoints of evacuated zones and gives a zone that returns a linearly growing share of choices for 5 s (`zone_state.rs`). Log lines `zone_evacuated` and `zone_restored`, metrics `jayreel_evacuated_zones` and `jayreel_storage_evacuated_zones`. The response with the configuration has a new field, so instances of this version and of the one before can't work together.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,7 +6,7 @@
 //! as of the last report. The second part decays exponentially with the age of the report,
 //! since nothing is known about how those requests went on.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use jayreel_ledger::{EndpointLimit, EndpointRun};
@@ -15,6 +15,7 @@
 use crate::directory::EndpointEntry;
 use crate::limit_view::LimitView;
 use crate::protocol::Load;
+use crate::zone_state::{ZoneChange, ZoneStates};
 
 new_key_type! {
     /// Identifies one run of an endpoint. A restarted endpoint gets a new key.
@@ -122,6 +123,8 @@
     by_id: HashMap<String, EndpointKey>,
     /// Average time to first byte by service, in milliseconds.
     service_latency_ms: HashMap<String, f64>,
+    /// Availability zones that are evacuated or returning.
+    zones: ZoneStates,
 }
 
 impl Balancer {
@@ -132,6 +135,7 @@
             endpoints: SlotMap::with_key(),
             by_id: HashMap::new(),
             service_latency_ms: HashMap::new(),
+            zones: ZoneStates::default(),
         }
     }
 
@@ -178,6 +182,23 @@
         }
     }
 
+    /// Takes the set of evacuated availability zones, whose endpoints get no new requests. Returns
+    /// the changes.
+    pub fn set_evacuated(
+        &mut self,
+        now_ms: u64,
+        evacuated: &BTreeSet<String>,
+    ) -> Vec<ZoneChange> {
+        self.zones.set_evacuated(now_ms, evacuated)
+    }
+
+    /// Number of endpoints in an availability zone.
+    pub fn endpoints_in(&self, zone: &str) -> usize {
+        let endpoints = self.endpoints.values();
+        let inside = endpoints.filter(|one| one.entry.availability_zone == zone);
+        inside.count()
+    }
+
     /// Whether this run of an endpoint is still registered.
     pub fn contains(&self, key: EndpointKey) -> bool {
         self.endpoints.contains_key(key)
@@ -193,7 +214,7 @@
     /// Whether any endpoint of a service accepts new requests.
     pub fn serves(&self, service: &str) -> bool {
         let mut endpoints = self.endpoints.values();
-        endpoints.any(|endpoint| endpoint.accepts(service))
+        endpoints.any(|endpoint| endpoint.accepts(service, &self.zones))
     }
 
     /// Chooses the endpoint of a service with the lowest score. `affinity` is the identifier of
@@ -243,12 +264,19 @@
         tried: &'a [String],
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint, f64)> {
         let usable = self.endpoints.iter().filter(move |(_, endpoint)| {
-            endpoint.accepts(service)
+            endpoint.accepts(service, &self.zones)
                 && !tried.contains(&endpoint.entry.id)
                 && endpoint.limit.wait_ms(now_ms) == 0
         });
+        let draw = self.zones.draw();
         usable.map(move |(key, endpoint)| {
-            (key, endpoint, self.score(now_ms, endpoint, affinity))
+            let zone = &endpoint.entry.availability_zone;
+            let score = self.score(now_ms, endpoint, affinity);
+            (
+                key,
+                endpoint,
+                score + self.zones.penalty(now_ms, zone, draw),
+            )
         })
     }
 
@@ -289,7 +317,7 @@
         let mut usable = self
             .endpoints
             .values()
-            .filter(|endpoint| endpoint.accepts(service));
+            .filter(|endpoint| endpoint.accepts(service, &self.zones));
         usable.all(|endpoint| {
             endpoint.load(now_ms) > OVERLOAD_LOAD_PER_SLOT
                 || endpoint.limit.wait_ms(now_ms) > 0
@@ -360,7 +388,7 @@
     /// accept a request again, in milliseconds.
     pub fn limit_wait_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
         let endpoints = self.endpoints.values();
-        let usable = endpoints.filter(|endpoint| endpoint.accepts(service));
+        let usable = endpoints.filter(|endpoint| endpoint.accepts(service, &self.zones));
         let wait_ms = usable.map(|endpoint| endpoint.limit.wait_ms(now_ms)).min();
         wait_ms.filter(|wait_ms| *wait_ms > 0)
     }
@@ -450,9 +478,10 @@
 
 impl Endpoint {
     /// Whether it accepts new requests for a service.
-    fn accepts(&self, service: &str) -> bool {
+    fn accepts(&self, service: &str, zones: &ZoneStates) -> bool {
         let is_ending = self.entry.is_draining || self.is_leaving;
-        self.entry.service == service && !is_ending
+        let is_evacuated = zones.is_evacuated(&self.entry.availability_zone);
+        self.entry.service == service && !is_ending && !is_evacuated
     }
 
     fn limit_report(&self, now_ms: u64) -> EndpointLimit {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,7 +1,7 @@
 //! Interface to the metadata store, and the types of its records.
 //!
-//! The store holds the operator's configuration, the endpoint registry, the retirements that
-//! the operator requested, and the records that the instances keep for themselves, such as the
+//! The store holds the operator's configuration, the endpoint registry, the evacuations and
+//! retirements that the operator requested, and the records that the instances keep for themselves, such as the
 //! group's membership. Each platform implements [`MetadataStore`] for its own store.
 
 use std::fmt;
@@ -111,6 +111,17 @@
     pub changes: Vec<EndpointChange>,
 }
 
+/// The availability zones that the operator has evacuated.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Evacuations {
+    /// Revision of the store at which the list was read.
+    pub revision: u64,
+    /// Names of the zones as the operator wrote them. They need not exist.
+    pub zones: Vec<String>,
+    /// Whether there were no more names than the reader accepts.
+    pub is_complete: bool,
+}
+
 /// A record that the instances keep for themselves, such as the group's membership or the
 /// registration of a storage instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -168,6 +179,9 @@
         wait_ms: u64,
     ) -> StoreFuture<'_, EndpointChanges>;
 
+    /// Lists the availability zones that the operator has evacuated.
+    fn evacuations(&self) -> StoreFuture<'_, Evacuations>;
+
     /// Lists the instances that the operator wants to retire.
     fn retirements(&self) -> StoreFuture<'_, Vec<Retirement>>;
 
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -40,6 +40,7 @@
 use crate::edge::pool::Pool;
 use crate::edge::refusal::Refusal;
 use crate::edge::shutdown::Shutdown;
+use crate::evacuation_view::EvacuationView;
 use crate::freshness::Freshness;
 use crate::link::LinkPool;
 use crate::log_fields::OrNone;
@@ -77,6 +78,10 @@
     configuration_revision: Cell<u64>,
     /// When the configuration was last confirmed to be current.
     pub freshness: RefCell<Freshness>,
+    /// The evacuated availability zones.
+    evacuations: RefCell<EvacuationView>,
+    /// Delays reads of the evacuated zones from the metadata store after one has failed.
+    evacuation_backoff: RefCell<Backoff>,
     pub balancer: RefCell<Balancer>,
     pub pool: RefCell<Pool>,
     pub members: Rc<Members>,
@@ -137,6 +142,8 @@
             configuration: RefCell::default(),
             configuration_revision: Cell::new(0),
             freshness: RefCell::default(),
+            evacuations: RefCell::default(),
+            evacuation_backoff: RefCell::default(),
             balancer: RefCell::new(Balancer::new(&zone)),
             pool: RefCell::default(),
             members: Rc::new(Members::new(&zone, Box::<LinkPool>::default())),
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -6,10 +6,12 @@
 
 use std::rc::Rc;
 
-use jayreel_ledger::{Group, SharedChanges, SharedConfiguration, ZonePresence};
+use jayreel_ledger::{
+    Group, SharedChanges, SharedConfiguration, SharedEvacuations, ZonePresence,
+};
 
 use crate::clock::{now_ms, pause};
-use crate::directory::{ConfigurationRead, EndpointChange, MetadataError};
+use crate::directory::{ConfigurationRead, EndpointChange, Evacuations, MetadataError};
 use crate::edge::Edge;
 use crate::edge::quota::REFILL_INTERVAL_MS;
 use crate::endpoint_view::{
@@ -18,9 +20,10 @@
 use crate::loop_monitor::monitor_loop;
 use crate::membership::GROUP_RECORD;
 use crate::presence::{PRESENCE_INTERVAL_MS, is_majority_absent};
+use crate::zone_state::ZoneChange;
 
-/// Interval at which the configuration is read, as a fraction of `Bounds::configuration_ms`. A
-/// change still takes effect in time if the member's copy is `MAX_SHARED_AGE_MS` old and one read
+/// Interval at which the configuration and the evacuated zones are read, as a fraction of
+/// `Bounds::configuration_ms` or `Bounds::evacuation_ms`, whichever is shorter. A change still takes effect in time if the member's copy is `MAX_SHARED_AGE_MS` old and one read
 /// fails.
 const READ_INTERVAL_FRACTION: f64 = 0.3;
 
@@ -28,6 +31,9 @@
 /// than the interval at which members read it.
 const MAX_SHARED_AGE_MS: u64 = 1_000;
 
+/// Largest number of log lines for one change of the set of evacuated zones. The rest is counted.
+const MAX_ZONE_LINES: usize = 16;
+
 /// Pause after a failed read of the metadata store, in milliseconds.
 const FAILED_READ_RETRY_MS: u64 = 200;
 
@@ -85,10 +91,12 @@
     }
 }
 
-/// Reads the configuration periodically from the nearest member, or from the metadata store
-/// while that member does not respond or its copy is too old.
+/// Reads the configuration and the evacuated zones periodically from the nearest member, or from
+/// the metadata store while that member does not respond or its copy is too old.
 async fn read_configuration(edge: Rc<Edge>) {
-    let bound_ms = edge.settings.bounds.configuration_ms as f64;
+    let bounds = edge.settings.bounds;
+    let bound_ms = bounds.evacuation_ms.unwrap_or(u64::MAX);
+    let bound_ms = bound_ms.min(bounds.configuration_ms) as f64;
     let interval_ms = (bound_ms * READ_INTERVAL_FRACTION) as u64;
     let mut is_reachable = true;
     wait_for_group(&edge).await;
@@ -96,7 +104,11 @@
         let began_ms = now_ms();
         let known = edge.configuration_revision.get();
         let shared = edge.members.nearest_configuration(known).await;
-        if let Some(found) = shared.filter(|found| found.age_ms <= MAX_SHARED_AGE_MS) {
+        if let Some(mut found) = shared.filter(|found| found.age_ms <= MAX_SHARED_AGE_MS)
+        {
+            // Before the configuration, without which nothing is sent to any zone.
+            edge.apply_shared_evacuations(began_ms, found.evacuations.take());
+            edge.read_evacuations().await;
             edge.apply_shared_configuration(began_ms, found);
             if !is_reachable {
                 log::info!("event=store_regained by=member");
@@ -111,7 +123,12 @@
             pause(FAILED_READ_RETRY_MS).await;
             continue;
         }
-        match edge.store.configuration(known).await {
+        let (configuration, ()) = futures::future::join(
+            edge.store.configuration(known),
+            edge.read_evacuations(),
+        )
+        .await;
+        match configuration {
             Ok(read) => {
                 edge.members.record_store_response();
                 edge.apply_configuration(began_ms, read);
@@ -156,12 +173,80 @@
     }
     let requested_ms = now_ms();
     let known = edge.configuration_revision.get();
-    for found in edge.members.configuration(known).await {
+    for mut found in edge.members.configuration(known).await {
+        edge.apply_shared_evacuations(requested_ms, found.evacuations.take());
         edge.apply_shared_configuration(requested_ms, found);
     }
 }
 
 impl Edge {
+    /// Reads the evacuated zones from the metadata store, if members have sent none recently. Does
+    /// nothing if the operator does not evacuate zones.
+    async fn read_evacuations(&self) {
+        let age_ms = self.evacuations.borrow().age_ms(now_ms());
+        let is_recent = age_ms.is_some_and(|age_ms| age_ms <= MAX_SHARED_AGE_MS);
+        let is_delayed = !self.evacuation_backoff.borrow().is_over(now_ms());
+        if self.settings.bounds.evacuation_ms.is_none() || is_recent || is_delayed {
+            return;
+        }
+        let read_began_ms = now_ms();
+        match self.store.evacuations().await {
+            Ok(evacuations) => {
+                self.evacuation_backoff.borrow_mut().succeed();
+                self.apply_evacuations(read_began_ms, evacuations);
+            }
+            Err(error) => {
+                log::debug!("event=evacuations_unread reason={error:?}");
+                self.evacuation_backoff.borrow_mut().fail(now_ms());
+            }
+        }
+    }
+
+    /// Applies the evacuated zones that a member sent in the response to a request sent at
+    /// `requested_ms`.
+    fn apply_shared_evacuations(
+        &self,
+        requested_ms: u64,
+        shared: Option<SharedEvacuations>,
+    ) {
+        if let Some(shared) = shared {
+            let read_began_ms = requested_ms.saturating_sub(shared.age_ms);
+            self.apply_evacuations(read_began_ms, shared.into());
+        }
+    }
+
+    /// Applies the evacuated zones to the balancer, if they are the newest, and logs the changes.
+    fn apply_evacuations(&self, read_began_ms: u64, read: Evacuations) {
+        let mut balancer = self.balancer.borrow_mut();
+        let mut evacuations = self.evacuations.borrow_mut();
+        let is_in_use = |zone: &str| balancer.endpoints_in(zone) > 0;
+        if !evacuations.apply(read_began_ms, read, is_in_use) {
+            return;
+        }
+        if evacuations.ignored() > 0 {
+            log::warn!("event=evacuations_ignored count={}", evacuations.ignored());
+        }
+        self.metrics.set_evacuated_zones(evacuations.zones().len());
+        let changes = balancer.set_evacuated(now_ms(), evacuations.zones());
+        for change in changes.iter().take(MAX_ZONE_LINES) {
+            match change {
+                ZoneChange::Evacuated { zone } => log::info!(
+                    "event=zone_evacuated zone={zone:?} endpoints={}",
+                    balancer.endpoints_in(zone)
+                ),
+                ZoneChange::Restored { zone, evacuated_ms } => log::info!(
+                    "event=zone_restored zone={zone:?} endpoints={} \
+                     evacuated_ms={evacuated_ms}",
+                    balancer.endpoints_in(zone)
+                ),
+            }
+        }
+        if changes.len() > MAX_ZONE_LINES {
+            let omitted = changes.len() - MAX_ZONE_LINES;
+            log::info!("event=zone_changes_summed count={omitted}");
+        }
+    }
+
     /// Applies a configuration that a member read. Its age counts back from `requested_ms`, when
     /// the request was sent, so that it is never underestimated.
     fn apply_shared_configuration(&self, requested_ms: u64, found: SharedConfiguration) {
--- a/crates/gateway/src/endpoint_view.rs
+++ b/crates/gateway/src/endpoint_view.rs
@@ -90,6 +90,12 @@
 }
 
 impl EndpointView {
+    /// Whether an endpoint in this availability zone is registered.
+    pub fn has_zone(&self, zone: &str) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.availability_zone == zone)
+    }
+
     /// An empty view. `id` must differ from that of every other view, earlier ones included.
     pub fn new(id: u64) -> EndpointView {
         EndpointView {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod durations;
 pub mod edge;
 mod endpoint_view;
+mod evacuation_view;
 mod events;
 mod fair_stream;
 mod freshness;
@@ -42,6 +43,7 @@
 mod suspect_table;
 mod turn_cache;
 mod urgency;
+mod zone_state;
 
 pub use backoff::Backoff;
 pub use balance::{Balancer, EndpointKey, Pick};
@@ -52,11 +54,12 @@
 pub use contact::GroupContact;
 pub use directory::{
     ConfigurationRead, EndpointChange, EndpointChanges, EndpointEntry, EndpointSnapshot,
-    InternalRecord, MetadataError, MetadataStore, Retirement, RetirementState,
-    StoreFuture,
+    Evacuations, InternalRecord, MetadataError, MetadataStore, Retirement,
+    RetirementState, StoreFuture,
 };
 pub use durations::Durations;
 pub use endpoint_view::{EndpointRead, EndpointUpdate, EndpointView};
+pub use evacuation_view::EvacuationView;
 pub use events::{EventReader, StreamEvent};
 pub use freshness::Freshness;
 pub use link::{LinkError, MemberClient, ResponseFuture};
@@ -73,3 +76,4 @@
 pub use settings::{Bounds, NodeSettings, ProcessLimits};
 pub use suspect_table::SuspectTable;
 pub use urgency::engine_priority;
+pub use zone_state::ZoneChange;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     limited_sends: IntCounterVec,
     crashes: IntCounter,
     broken: IntGauge,
+    evacuated_zones: IntGauge,
     open_connections: Rc<Cell<usize>>,
     open_calls: Rc<Cell<usize>>,
 }
@@ -89,8 +90,13 @@
         .expect("the names of metrics are valid");
         let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
             .expect("the names of metrics are valid");
+        let evacuated_zones = IntGauge::new(
+            "jayreel_evacuated_zones",
+            "Availability zones that get no requests because the operator evacuated them",
+        )
+        .expect("the names of metrics are valid");
         let registry = Registry::new();
-        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(first_byte_s.clone()),
             Box::new(complete_s.clone()),
             Box::new(refusals.clone()),
@@ -98,6 +104,7 @@
             Box::new(limited_sends.clone()),
             Box::new(crashes.clone()),
             Box::new(broken.clone()),
+            Box::new(evacuated_zones.clone()),
         ];
         for collector in collectors {
             registry
@@ -113,6 +120,7 @@
             limited_sends,
             crashes,
             broken,
+            evacuated_zones,
             open_connections: Rc::default(),
             open_calls: Rc::default(),
         }
@@ -156,6 +164,11 @@
         self.broken.inc();
     }
 
+    /// Sets the number of evacuated availability zones.
+    pub(crate) fn set_evacuated_zones(&self, zones: usize) {
+        self.evacuated_zones.set(zones as i64);
+    }
+
     /// Counts a caller's connection as open until the guard is dropped.
     pub(crate) fn open_connection(&self) -> OpenGuard {
         open(&self.open_connections)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -54,6 +54,9 @@
     /// Time after which a revoked key must be rejected, in milliseconds, counted from the
     /// revocation to the sending of the request.
     pub revocation_ms: u64,
+    /// Time after which an evacuated availability zone must get no more requests, in milliseconds.
+    /// `None` if the operator does not evacuate zones.
+    pub evacuation_ms: Option<u64>,
     /// Window and slack with which customers' rates are checked.
     pub rate_tolerance: RateTolerance,
     /// Time within which a planned shutdown must be complete, in milliseconds.
--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -68,6 +68,7 @@
 /// Starts all background tasks. They run until the process ends.
 pub(crate) fn start(process: &Rc<StorageProcess>) {
     tokio::task::spawn_local(read_configuration(Rc::clone(process)));
+    tokio::task::spawn_local(read_evacuations(Rc::clone(process)));
     tokio::task::spawn_local(follow_endpoints(Rc::clone(process)));
     tokio::task::spawn_local(copy_missing(Rc::clone(process)));
     tokio::task::spawn_local(maintain_group(Rc::clone(process)));
@@ -133,6 +134,44 @@
     }
 }
 
+/// Reads the evacuated zones from the store at the first member, and at members that got no recent
+/// ones from the first member together with its configuration. Ends at once if the operator does
+/// not evacuate zones.
+async fn read_evacuations(process: Rc<StorageProcess>) {
+    if process.settings.bounds.evacuation_ms.is_none() {
+        return;
+    }
+    loop {
+        let read_began_ms = now_ms();
+        if !is_evacuation_read_due(&process, read_began_ms) {
+            pause(CONFIGURATION_INTERVAL_MS).await;
+            continue;
+        }
+        match process.store.evacuations().await {
+            Ok(evacuations) => {
+                process.apply(Event::EvacuationsRead {
+                    read_began_ms,
+                    evacuations,
+                });
+                pause(CONFIGURATION_INTERVAL_MS).await;
+            }
+            Err(error) => {
+                log::debug!("event=evacuations_unread reason={error:?}");
+                pause(FAILED_CALL_PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+fn is_evacuation_read_due(process: &StorageProcess, now_ms: u64) -> bool {
+    let node = process.node.borrow();
+    let first = node.group().members.first();
+    let is_first = first.is_some_and(|first| first.name == process.settings.name);
+    let age_ms = node.evacuations().age_ms(now_ms);
+    let is_recent = age_ms.is_some_and(|age_ms| age_ms <= MAX_SHARED_AGE_MS);
+    node.is_member() && (is_first || !is_recent)
+}
+
 /// Reads the configuration from the first member. Returns false if this instance is the first
 /// member, or if that member does not respond, has no fresh configuration, or sends one that
 /// cannot be decoded.
@@ -157,6 +196,12 @@
     if shared.age_ms > MAX_SHARED_AGE_MS {
         return false;
     }
+    if let Some(evacuations) = shared.evacuations {
+        process.apply(Event::EvacuationsRead {
+            read_began_ms: requested_ms.saturating_sub(evacuations.age_ms),
+            evacuations: evacuations.into(),
+        });
+    }
     let content = match shared.content {
         None => None,
         Some(stored) => match process.store.decode_configuration(&stored) {
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -14,7 +14,9 @@
 use super::log_state::{LogState, StorageLimits};
 use super::reads::{PendingRead, ReadKey};
 use super::recovery::RecoveredLog;
+use crate::directory::Evacuations;
 use crate::endpoint_view::{EndpointRead, EndpointView};
+use crate::evacuation_view::EvacuationView;
 use crate::freshness::Freshness;
 use crate::presence::PresenceTracker;
 use crate::turn_cache::TurnCache;
@@ -79,6 +81,13 @@
         /// The turns.
         turns: Vec<Option<TurnRecord>>,
     },
+    /// The evacuated zones were read from the store or from the first member.
+    EvacuationsRead {
+        /// When the read from the store began, in milliseconds.
+        read_began_ms: u64,
+        /// The zones.
+        evacuations: Evacuations,
+    },
     /// Endpoints were read from the store.
     EndpointsRead(EndpointRead),
     /// Sent periodically to remove expired records and to free disk space.
@@ -189,6 +198,8 @@
     pub(super) previous_shares: Option<(u64, usize)>,
     /// When a read last confirmed that `configuration` is the newest.
     pub(super) freshness: Freshness,
+    /// The evacuated availability zones.
+    pub(super) evacuations: EvacuationView,
     /// Endpoints in the store, which entry instances request.
     pub(super) endpoints: EndpointView,
     /// This instance's share of the rates that endpoints accept.
@@ -252,6 +263,7 @@
             started_ms: now_ms,
             previous_shares: None,
             freshness: Freshness::default(),
+            evacuations: EvacuationView::default(),
             endpoints: EndpointView::new(start),
             endpoint_limits: EndpointLimits::default(),
             crash_suspects: CrashSuspects::new(start),
@@ -276,6 +288,11 @@
         self.configuration_revision
     }
 
+    /// The evacuated availability zones.
+    pub fn evacuations(&self) -> &EvacuationView {
+        &self.evacuations
+    }
+
     /// The limits of endpoints that were reported.
     pub fn endpoint_limits(&self) -> &EndpointLimits {
         &self.endpoint_limits
@@ -342,6 +359,13 @@
                 self.apply_configuration(now_ms, read_began_ms, revision, content);
                 Vec::new()
             }
+            Event::EvacuationsRead {
+                read_began_ms,
+                evacuations,
+            } => {
+                self.apply_evacuations(read_began_ms, evacuations);
+                Vec::new()
+            }
             Event::EndpointsRead(read) => {
                 self.endpoints.apply_read(now_ms, read);
                 Vec::new()
@@ -573,6 +597,18 @@
 
     /// Takes over the result of a read if its configuration is newer. If the revision read is
     /// then the known one, the read confirms that it was the newest when the read began.
+    fn apply_evacuations(&mut self, read_began_ms: u64, read: Evacuations) {
+        let endpoints = &self.endpoints;
+        let is_in_use = |zone: &str| endpoints.has_zone(zone);
+        if self.evacuations.apply(read_began_ms, read, is_in_use) {
+            log::info!(
+                "event=evacuations count={} ignored={}",
+                self.evacuations.zones().len(),
+                self.evacuations.ignored(),
+            );
+        }
+    }
+
     fn apply_configuration(
         &mut self,
         now_ms: u64,
--- a/crates/gateway/src/storage/requests.rs
+++ b/crates/gateway/src/storage/requests.rs
@@ -350,6 +350,7 @@
                 age_ms,
                 content: (self.configuration_revision > known_revision)
                     .then(|| self.configuration.clone()),
+                evacuations: self.evacuations.share(now_ms),
             }),
             None => MemberResponse::Unavailable,
         }
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -282,6 +282,7 @@
             ("queued_bytes", usage.queued_bytes),
             ("read_bytes", usage.read_bytes),
             ("reply_bytes", self.reply_budget.used_bytes() as u64),
+            ("evacuated_zones", node.evacuations().zones().len() as u64),
             ("endpoint_limits", node.endpoint_limits().len() as u64),
             ("crash_suspects", node.crash_suspects().len() as u64),
             ("given_up_requests", node.crash_suspects().given_up() as u64),
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -39,8 +39,8 @@
 };
 pub use message::{
     EndpointCursor, MemberRequest, MemberResponse, QuotaRequest, Reply, Request,
-    SharedChanges, SharedConfiguration, SharedEndpoints, TurnBudget, TurnRenewal,
-    ZonePresence,
+    SharedChanges, SharedConfiguration, SharedEndpoints, SharedEvacuations, TurnBudget,
+    TurnRenewal, ZonePresence,
 };
 pub use rate::{QuotaPurpose, RateLimit, RateShare, RateTolerance};
 pub use record::{
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -210,6 +210,19 @@
     /// The configuration in the encoding of the store. `None` if the requester has this
     /// revision already.
     pub content: Option<bytes::Bytes>,
+    /// The evacuated availability zones. `None` if the member does not know the set.
+    pub evacuations: Option<SharedEvacuations>,
+}
+
+/// The availability zones that the operator has evacuated, with the age of the evidence.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SharedEvacuations {
+    /// Revision of the store at which the set was read.
+    pub revision: u64,
+    /// Time from the start of the newest read to the response, in milliseconds.
+    pub age_ms: u64,
+    /// Names of the zones.
+    pub zones: Vec<String>,
 }
 
 /// Response to a [`MemberRequest`].
