Admit new programs within the capacity that begun ones leave

Cause: in a burst, turns queue at the endpoints beyond what their programs can afford, and programs fail after most of their turns have run.

Change: crate jayreel-admission (pressure, controlled share, work by customer and kind, seen programs) and its use in the entry instance before the body is read.

Result: not measured yet; no test of the load yet.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use jayreel_admission::EndpointLoad;
 use jayreel_ledger::{EndpointLimit, EndpointRun};
 use slotmap::{SlotMap, new_key_type};
 
@@ -296,6 +297,28 @@
         })
     }
 
+    /// What is known about the load of the endpoints of a service that this instance would use:
+    /// those that accept requests and are not paused, suspended or at their limit.
+    pub fn endpoint_loads(&self, now_ms: u64, service: &str) -> Vec<EndpointLoad> {
+        let usable = self.endpoints.values().filter(|endpoint| {
+            endpoint.accepts(service)
+                && !endpoint.is_suspended
+                && endpoint.paused_until_ms <= now_ms
+                && endpoint.limit.wait_ms(now_ms) == 0
+        });
+        let load = |endpoint: &Endpoint| {
+            let requests = f64::from(endpoint.own_requests) + endpoint.other_requests;
+            let is_reported = endpoint.reported_ms > 0;
+            EndpointLoad {
+                load_per_slot: requests / f64::from(endpoint.entry.slots),
+                report_age_ms: is_reported
+                    .then(|| now_ms.saturating_sub(endpoint.reported_ms)),
+                is_remote: endpoint.entry.availability_zone != self.availability_zone,
+            }
+        };
+        usable.map(load).collect()
+    }
+
     /// Counts a request as in flight at an endpoint.
     pub fn begin(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/gateway/src/durations.rs
+++ b/crates/gateway/src/durations.rs
@@ -50,6 +50,11 @@
         self.by_route.insert(route.to_string(), estimate);
     }
 
+    /// Average time of the requests of a route, in milliseconds. `None` if none has ended yet.
+    pub fn average_ms(&self, route: &str) -> Option<f64> {
+        Some(self.by_route.get(route)?.average_ms)
+    }
+
     /// Time that nearly all requests of a route need, in milliseconds. `None` if none has ended
     /// yet.
     pub fn expected_ms(&self, route: &str) -> Option<u64> {
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -231,6 +231,7 @@
     let service = choose_service(&route);
     check_endpoints(edge, &service)?;
     check_group(edge, &route, &call, customer.is_some())?;
+    edge.check_program(&configuration, &route, &service, &call, customer.as_ref())?;
     let Collected {
         content: body,
         claim: body_claim,
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod listen;
 mod members;
 mod pool;
+mod program_admission;
 mod quota;
 mod refusal;
 mod shutdown;
@@ -38,6 +39,7 @@
 use crate::edge::crashes::LostRequests;
 use crate::edge::exchange::OutgoingRequest;
 use crate::edge::pool::Pool;
+use crate::edge::program_admission::ProgramGate;
 use crate::edge::refusal::Refusal;
 use crate::edge::shutdown::Shutdown;
 use crate::freshness::Freshness;
@@ -107,6 +109,8 @@
     pub shutdown: Rc<Shutdown>,
     /// How long requests take.
     pub durations: RefCell<Durations>,
+    /// Admission of new programs. `None` where capacity is not scarce.
+    program_gate: Option<RefCell<ProgramGate>>,
     /// Limits the log lines for successful responses. Those beyond it are only counted.
     response_log_budget: RefCell<LineBudget>,
     pub metrics: Metrics,
@@ -128,7 +132,12 @@
     ) -> Edge {
         let zone = settings.availability_zone.clone();
         let memory_mb = settings.limits.memory_mb;
+        let program_gate = settings
+            .features
+            .scarce_capacity
+            .then(|| RefCell::new(ProgramGate::new(now_ms())));
         Edge {
+            program_gate,
             settings,
             request_memory: Rc::new(BodyMemory::for_requests(memory_mb)),
             response_memory: Rc::new(BodyMemory::for_responses(memory_mb)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,6 +70,6 @@
 pub use quota_buffer::{BufferedToken, QuotaBuffer};
 pub use renewals::RenewalQueue;
 pub use retry::{Attempt, Outcome, RetryPolicy, Step};
-pub use settings::{Bounds, NodeSettings, ProcessLimits};
+pub use settings::{Bounds, Features, NodeSettings, ProcessLimits};
 pub use suspect_table::SuspectTable;
 pub use urgency::engine_priority;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 use crate::retry::Outcome;
@@ -26,6 +26,9 @@
     limited_sends: IntCounterVec,
     crashes: IntCounter,
     broken: IntGauge,
+    programs: IntCounterVec,
+    program_share: GaugeVec,
+    queueing_turns: GaugeVec,
     open_connections: Rc<Cell<usize>>,
     open_calls: Rc<Cell<usize>>,
 }
@@ -54,6 +57,10 @@
         .expect("the names of metrics are valid")
 }
 
+fn gauge(name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    GaugeVec::new(Opts::new(name, help), labels).expect("the names of metrics are valid")
+}
+
 impl Metrics {
     /// Creates and registers all metrics.
     pub(crate) fn new() -> Metrics {
@@ -89,8 +96,23 @@
         .expect("the names of metrics are valid");
         let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
             .expect("the names of metrics are valid");
+        let programs = counter(
+            "jayreel_new_programs_total",
+            "New programs where capacity is scarce, by route and decision",
+            &["route", "decision"],
+        );
+        let program_share = gauge(
+            "jayreel_new_program_share",
+            "Share of new programs that is admitted, by service",
+            &["service"],
+        );
+        let queueing_turns = gauge(
+            "jayreel_queueing_turns",
+            "Expected queueing time of a new turn relative to the time of a turn, by service",
+            &["service"],
+        );
         let registry = Registry::new();
-        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(first_byte_s.clone()),
             Box::new(complete_s.clone()),
             Box::new(refusals.clone()),
@@ -98,6 +120,9 @@
             Box::new(limited_sends.clone()),
             Box::new(crashes.clone()),
             Box::new(broken.clone()),
+            Box::new(programs.clone()),
+            Box::new(program_share.clone()),
+            Box::new(queueing_turns.clone()),
         ];
         for collector in collectors {
             registry
@@ -113,6 +138,9 @@
             limited_sends,
             crashes,
             broken,
+            programs,
+            program_share,
+            queueing_turns,
             open_connections: Rc::default(),
             open_calls: Rc::default(),
         }
@@ -141,6 +169,23 @@
         self.failures.with_label_values(&[outcome.as_str()]).inc();
     }
 
+    /// Counts a new program, and whether it was admitted.
+    pub(crate) fn new_program(&self, route: &str, decision: &str) {
+        self.programs.with_label_values(&[route, decision]).inc();
+    }
+
+    /// Records the share of new programs that a service admits, and its pressure if it is known.
+    pub(crate) fn set_program_share(
+        &self,
+        service: &str,
+        share: f64,
+        queueing_turns: Option<f64>,
+    ) {
+        self.program_share.with_label_values(&[service]).set(share);
+        let gauge = self.queueing_turns.with_label_values(&[service]);
+        gauge.set(queueing_turns.unwrap_or(0.0));
+    }
+
     /// Counts a request for a token of endpoints that limit the rate of requests.
     pub(crate) fn limited_send(&self, outcome: &str) {
         self.limited_sends.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,18 @@
     pub limits: ProcessLimits,
     /// Guarantees given to operators and callers.
     pub bounds: Bounds,
+    /// Optional parts that this deployment uses.
+    pub features: Features,
+}
+
+/// Optional parts. None of them is in use by default.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Features {
+    /// Endpoints don't always have capacity for all callers, so programs are admitted within the
+    /// capacity.
+    pub scarce_capacity: bool,
+    /// The availability zones are managed: requests are placed by zone.
+    pub managed_zones: bool,
 }
 
 /// Resources that the process may use.
