--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -126,27 +126,34 @@
         let queueing_turns = control.pressure.map(|pressure| pressure.queueing_turns);
         control.share.update(now_ms, queueing_turns);
         let is_new = !turn.is_continuation && seen != Some(ProgramState::Begun);
-        if is_new && seen.is_none() {
+        let was_rejected = seen == Some(ProgramState::Rejected);
+        let is_late = turn.time_left_ms == Some(0);
+        if is_new && !was_rejected {
             control.work.record_program(now_ms, &turn.claimant);
         }
-        let is_late = turn.time_left_ms == Some(0);
         let rejection = match is_new && !is_late && !is_warming_up {
             true => control.check_new(now_ms, turn, draws),
             false => None,
         };
         if let Some(rejection) = rejection {
-            self.programs
-                .record(now_ms, turn.program, ProgramState::Rejected);
+            if !was_rejected {
+                control.work.record_rejection(now_ms, &turn.claimant);
+            }
+            let state = ProgramState::Rejected;
+            self.programs.record(now_ms, turn.program, state);
             return Decision::Reject(rejection);
         }
-        let Claimant {
-            customer, weight, ..
-        } = turn.claimant;
+        if is_new {
+            let claimant = &turn.claimant;
+            control
+                .work
+                .record_admission(now_ms, claimant, was_rejected);
+        }
         control
             .work
-            .record_turn(now_ms, customer, weight, turn.tokens);
-        self.programs
-            .record(now_ms, turn.program, ProgramState::Begun);
+            .record_turn(now_ms, &turn.claimant, turn.tokens);
+        let state = ProgramState::Begun;
+        self.programs.record(now_ms, turn.program, state);
         Decision::Admit { is_new }
     }
 
@@ -184,12 +191,11 @@
         (draw, jitter): (f64, f64),
     ) -> Option<Rejection> {
         let share = self.share.share();
-        let of_customer = self.work.customer_share(now_ms, &turn.claimant, share);
-        let of_kind = self.work.kind_share(now_ms, &turn.claimant, share);
+        let shares = self.work.shares(now_ms, &turn.claimant, share);
         let reason = match draw {
-            _ if draw < of_customer.min(of_kind) => return None,
-            _ if of_customer < of_kind => RejectionReason::CustomerShare,
-            _ => RejectionReason::KindShare,
+            _ if draw < shares.of_customer * shares.of_kind => return None,
+            _ if draw < shares.of_customer => RejectionReason::KindShare,
+            _ => RejectionReason::CustomerShare,
         };
         Some(Rejection {
             reason,
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -30,4 +30,4 @@
 pub use pressure::{EndpointLoad, Pressure};
 pub use programs::{ProgramKey, ProgramState, SeenPrograms};
 pub use share::ShareControl;
-pub use work::{Claimant, WorkCounters};
+pub use work::{Claimant, Shares, WorkCounters};
--- a/crates/admission/src/pressure.rs
+++ b/crates/admission/src/pressure.rs
@@ -9,12 +9,15 @@
 const REPORT_DECAY_MS: f64 = 500.0;
 
 /// Reports older than this, in milliseconds, are ignored.
-const MAX_REPORT_AGE_MS: u64 = 2_000;
+const MAX_REPORT_AGE_MS: u64 = 3_000;
 
 /// Sum of the weights of the reports from which a pressure is derived. One recent report, or a
 /// few older ones.
 const MIN_REPORT_WEIGHT: f64 = 1.0;
 
+/// The same for a zone with a single endpoint, which may not report often.
+const MIN_SINGLE_REPORT_WEIGHT: f64 = 0.1;
+
 /// Load per slot at which the load of a single endpoint is capped. An endpoint that is
 /// stuck must not dominate the average.
 const MAX_LOAD_PER_SLOT: f64 = 2.5;
@@ -98,7 +101,10 @@
     let (sum, weight) = counted.fold((0.0, 0.0), |(sum, total), (_, (load, weight))| {
         (sum + load * weight, total + weight)
     });
-    let min_weight = if is_single { 0.1 } else { MIN_REPORT_WEIGHT };
+    let min_weight = match is_single {
+        true => MIN_SINGLE_REPORT_WEIGHT,
+        false => MIN_REPORT_WEIGHT,
+    };
     (weight >= min_weight).then(|| Average {
         load_per_slot: sum / weight,
         weight,
--- a/crates/admission/src/work.rs
+++ b/crates/admission/src/work.rs
@@ -1,5 +1,6 @@
 //! Recent work by customer and by kind of request, and from it who is rejected first.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 /// Time constant with which work is forgotten, in milliseconds: the duration of a burst, and
@@ -13,17 +14,25 @@
 /// Number of kinds that are counted, with the same rule.
 const MAX_KINDS: usize = 64;
 
-/// Work, in units of the average turn, that is assumed to have been divided among the customers
-/// in proportion to their weights. An instance sees few turns of each customer, and a customer
-/// must not count as above its share because of a single one.
-const PRIOR_TURNS: f64 = 8.0;
+/// Number of programs that are assumed to have been divided among the customers in proportion to
+/// their weights. An instance sees few programs of each customer, and a customer must not count as
+/// above its share because of a single one.
+const PRIOR_PROGRAMS: f64 = 8.0;
 
-/// A customer is above its fair share if its work exceeds it by this factor.
-const SHARE_TOLERANCE: f64 = 1.5;
+/// A customer is above its fair share if its demand exceeds it by this factor.
+const SHARE_TOLERANCE: f64 = 1.3;
 
-/// Share of its programs of which each kind is certain, relative to the share that is admitted
-/// of all. The less urgent kind would otherwise get nothing in a burst of the urgent one.
-const MIN_KIND_SHARE: f64 = 0.35;
+/// Exponent of the part that a customer above its fair share keeps. Its demand lasts while it is
+/// rejected, so that cutting it just to its share leaves most of the rejections to the others.
+const EXCESS_EXPONENT: i32 = 3;
+
+/// Part of the programs of each kind that is always admitted, relative to the share of all
+/// programs. The less urgent kind would otherwise get nothing in a burst of the urgent one.
+const MIN_KIND_SHARE: f64 = 0.4;
+
+/// Part of the programs of a kind that is always admitted while a less urgent kind can make room.
+/// Engines run urgent turns first, so many of them end in time even under high pressure.
+const MIN_URGENT_SHARE: f64 = 0.4;
 
 /// The customer and kind of a new program.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,129 +61,157 @@
     }
 
     fn add(&mut self, now_ms: u64, amount: f64) {
-        self.amount = self.at(now_ms) + amount;
+        self.amount = (self.at(now_ms) + amount).max(0.0);
         self.updated_ms = now_ms;
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct CustomerWork {
     weight: f64,
-    /// Tokens of the turns that were admitted.
-    tokens: Decaying,
+    /// Tokens of the turns that were admitted, and of the programs that were rejected.
+    demand_tokens: Decaying,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct KindDemand {
+#[derive(Clone, Copy, Debug, Default)]
+struct KindWork {
     rank: u8,
-    /// New programs, admitted or not.
+    /// New programs, admitted or not. Retries don't count.
     programs: Decaying,
+    /// New programs that were admitted.
+    admitted: Decaying,
+    /// Tokens of the turns that were admitted.
+    tokens: Decaying,
+}
+
+impl KindWork {
+    /// Expected tokens of all turns of one program.
+    fn program_tokens(&self, now_ms: u64) -> f64 {
+        let programs = self.admitted.at(now_ms).max(1.0);
+        (self.tokens.at(now_ms) / programs).max(1.0)
+    }
+}
+
+/// Which part of the new programs of one customer and kind is admitted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shares {
+    /// Part that the customer keeps. Below 1 if it is above its fair share.
+    pub of_customer: f64,
+    /// Part that the kind keeps of what its customers keep.
+    pub of_kind: f64,
+}
+
+impl Shares {
+    /// Everything is admitted.
+    pub const ALL: Shares = Shares {
+        of_customer: 1.0,
+        of_kind: 1.0,
+    };
 }
 
-/// Work and demand of all customers and kinds at one service.
+/// Recent work and demand of all customers and kinds at one service.
 #[derive(Debug, Default)]
 pub struct WorkCounters {
     /// At most [`MAX_CUSTOMERS`].
     customers: HashMap<String, CustomerWork>,
     /// At most [`MAX_KINDS`].
-    kinds: HashMap<String, KindDemand>,
-    /// Tokens and number of all admitted turns, for the average turn.
-    tokens: Decaying,
-    turns: Decaying,
+    kinds: HashMap<String, KindWork>,
 }
 
 impl WorkCounters {
     /// Counts a turn that was admitted.
-    pub fn record_turn(&mut self, now_ms: u64, customer: &str, weight: f64, tokens: u32) {
+    pub fn record_turn(&mut self, now_ms: u64, claimant: &Claimant<'_>, tokens: u32) {
         let tokens = f64::from(tokens.max(1));
-        self.tokens.add(now_ms, tokens);
-        self.turns.add(now_ms, 1.0);
-        if let Some(work) = self.customers.get_mut(customer) {
-            work.weight = usable_weight(weight);
-            work.tokens.add(now_ms, tokens);
-            return;
-        }
-        if self.customers.len() >= MAX_CUSTOMERS {
-            forget_least(&mut self.customers, |work| work.tokens.at(now_ms));
-        }
-        let mut work = CustomerWork {
-            weight: usable_weight(weight),
-            tokens: Decaying::default(),
-        };
-        work.tokens.add(now_ms, tokens);
-        self.customers.insert(customer.to_string(), work);
+        self.add_demand(now_ms, claimant, tokens);
+        self.kind(now_ms, claimant).tokens.add(now_ms, tokens);
     }
 
-    /// Counts a new program, before the decision about it.
+    /// Counts a new program at its first attempt.
     pub fn record_program(&mut self, now_ms: u64, claimant: &Claimant<'_>) {
-        if !self.kinds.contains_key(claimant.kind) && self.kinds.len() >= MAX_KINDS {
-            forget_least(&mut self.kinds, |kind| kind.programs.at(now_ms));
+        self.kind(now_ms, claimant).programs.add(now_ms, 1.0);
+    }
+
+    /// Counts a new program that was admitted. `was_rejected` if that was not its first attempt:
+    /// its demand was counted then.
+    pub fn record_admission(
+        &mut self,
+        now_ms: u64,
+        claimant: &Claimant<'_>,
+        was_rejected: bool,
+    ) {
+        let kind = self.kind(now_ms, claimant);
+        kind.admitted.add(now_ms, 1.0);
+        if was_rejected {
+            let tokens = kind.program_tokens(now_ms);
+            self.add_demand(now_ms, claimant, -tokens);
         }
-        let kind = self.kinds.entry(claimant.kind.to_string());
-        let kind = kind.or_insert(KindDemand {
-            rank: claimant.rank,
-            programs: Decaying::default(),
-        });
-        kind.rank = claimant.rank;
-        kind.programs.add(now_ms, 1.0);
     }
 
-    /// Share of a customer's new programs to admit if `share` of all are admitted. Below 1 only
-    /// for a customer above its fair share.
+    /// Counts the demand of a program that was rejected at its first attempt.
+    pub fn record_rejection(&mut self, now_ms: u64, claimant: &Claimant<'_>) {
+        let tokens = self.kind(now_ms, claimant).program_tokens(now_ms);
+        self.add_demand(now_ms, claimant, tokens);
+    }
+
+    /// Which part of a customer's new programs of one kind is admitted, if `share` of all are.
     ///
-    /// The fair shares are those of max-min fairness: a customer with less work than its weight
-    /// allows leaves the rest to the others.
-    pub fn customer_share(
+    /// First, customers above their fair share are cut. A customer's fair share is its weight's
+    /// part of the whole demand; what it leaves unused goes to the others, since nobody is cut
+    /// while `share` is 1. What must still be rejected comes from the less urgent kinds first.
+    pub fn shares(&self, now_ms: u64, claimant: &Claimant<'_>, share: f64) -> Shares {
+        if share >= 1.0 {
+            return Shares::ALL;
+        }
+        let (of_customer, remaining_share) = self.cut_customers(now_ms, claimant, share);
+        Shares {
+            of_customer,
+            of_kind: self.kind_share(now_ms, claimant, remaining_share),
+        }
+    }
+
+    /// The part that a customer keeps, and the share that must then be admitted of what all
+    /// customers keep.
+    fn cut_customers(
         &self,
         now_ms: u64,
         claimant: &Claimant<'_>,
         share: f64,
-    ) -> f64 {
-        let turns = self.turns.at(now_ms);
-        if share >= 1.0 || turns < f64::EPSILON {
-            return 1.0;
-        }
-        let average_turn_tokens = self.tokens.at(now_ms) / turns;
-        let prior_tokens = PRIOR_TURNS * average_turn_tokens;
+    ) -> (f64, f64) {
+        let kind = self.kinds.get(claimant.kind).copied().unwrap_or_default();
+        let prior_tokens = PRIOR_PROGRAMS * kind.program_tokens(now_ms);
         let total_weight: f64 = self.customers.values().map(|work| work.weight).sum();
-        let is_known = self.customers.contains_key(claimant.customer);
-        let own_weight = usable_weight(claimant.weight);
-        let total_weight = total_weight + if is_known { 0.0 } else { own_weight };
-        let prior_per_weight = prior_tokens / total_weight;
-        let mut works: Vec<(f64, f64)> = self
-            .customers
-            .values()
-            .map(|work| {
-                let tokens = work.tokens.at(now_ms) + prior_per_weight * work.weight;
-                (tokens / work.weight, work.weight)
-            })
-            .collect();
+        let demand = |work: &CustomerWork| {
+            work.demand_tokens.at(now_ms) + prior_tokens * work.weight / total_weight
+        };
+        let total: f64 = self.customers.values().map(demand).sum();
+        let bound_per_weight = SHARE_TOLERANCE * total / total_weight;
+        let excess = |work: &CustomerWork| {
+            (demand(work) - bound_per_weight * work.weight).max(0.0)
+        };
+        let total_excess: f64 = self.customers.values().map(excess).sum();
         let own = self.customers.get(claimant.customer);
-        let own_tokens = own.map_or(0.0, |work| work.tokens.at(now_ms));
-        let own_per_weight = own_tokens / own_weight + prior_per_weight;
-        let level_per_weight = fair_level(&mut works, share);
-        let bound_per_weight = SHARE_TOLERANCE * level_per_weight;
-        match own_per_weight > bound_per_weight {
-            true => (bound_per_weight / own_per_weight).powi(2),
-            false => 1.0,
+        let own_excess = own.map_or(0.0, |own| excess(own) / demand(own));
+        let kept = (1.0 - own_excess).powi(EXCESS_EXPONENT);
+        let to_reject = (1.0 - share) * total;
+        match total_excess >= to_reject {
+            true => (kept, 1.0),
+            false => (kept, share * total / (total - total_excess)),
         }
     }
 
-    /// Share of a kind's new programs to admit if `share` of all are admitted: the less urgent
+    /// The part that a kind keeps if `share` of the work of all kinds is admitted: the less urgent
     /// kinds make room first, but each keeps a minimum.
-    pub fn kind_share(&self, now_ms: u64, claimant: &Claimant<'_>, share: f64) -> f64 {
+    fn kind_share(&self, now_ms: u64, claimant: &Claimant<'_>, share: f64) -> f64 {
         if share >= 1.0 {
             return 1.0;
         }
-        let mut more_urgent = 0.0;
-        let mut same = 0.0;
-        let mut less_urgent = 0.0;
+        let (mut more_urgent, mut same, mut less_urgent) = (0.0, 0.0, 0.0);
         for kind in self.kinds.values() {
-            let programs = kind.programs.at(now_ms);
+            let work = kind.programs.at(now_ms) * kind.program_tokens(now_ms);
             match kind.rank.cmp(&claimant.rank) {
-                std::cmp::Ordering::Less => more_urgent += programs,
-                std::cmp::Ordering::Equal => same += programs,
-                std::cmp::Ordering::Greater => less_urgent += programs,
+                Ordering::Less => more_urgent += work,
+                Ordering::Equal => same += work,
+                Ordering::Greater => less_urgent += work,
             }
         }
         if same < f64::EPSILON {
@@ -183,35 +220,45 @@
         let min_share = MIN_KIND_SHARE * share;
         let room = share * (more_urgent + same + less_urgent);
         let reserved = min_share * less_urgent;
-        // More urgent kinds take what they need beyond the minimum of the others.
         let for_more_urgent =
             more_urgent.min((room - reserved - min_share * same).max(0.0));
-        ((room - reserved - for_more_urgent) / same).clamp(min_share, 1.0)
+        let for_same = (room - reserved - for_more_urgent) / same;
+        match less_urgent > 0.0 {
+            true => for_same.clamp(MIN_URGENT_SHARE, 1.0),
+            false => for_same.clamp(min_share, 1.0),
+        }
+    }
+
+    fn add_demand(&mut self, now_ms: u64, claimant: &Claimant<'_>, tokens: f64) {
+        let is_known = self.customers.contains_key(claimant.customer);
+        if !is_known && self.customers.len() >= MAX_CUSTOMERS {
+            forget_least(&mut self.customers, |work| work.demand_tokens.at(now_ms));
+        }
+        let work = entry(&mut self.customers, claimant.customer);
+        work.weight = match claimant.weight.is_finite() && claimant.weight > 0.0 {
+            true => claimant.weight,
+            false => 1.0,
+        };
+        work.demand_tokens.add(now_ms, tokens);
     }
-}
 
-fn usable_weight(weight: f64) -> f64 {
-    match weight.is_finite() && weight > 0.0 {
-        true => weight,
-        false => 1.0,
+    fn kind(&mut self, now_ms: u64, claimant: &Claimant<'_>) -> &mut KindWork {
+        let is_known = self.kinds.contains_key(claimant.kind);
+        if !is_known && self.kinds.len() >= MAX_KINDS {
+            forget_least(&mut self.kinds, |kind| kind.programs.at(now_ms));
+        }
+        let kind = entry(&mut self.kinds, claimant.kind);
+        kind.rank = claimant.rank;
+        kind
     }
 }
 
-/// Level to which the work per weight of all customers must be cut so that `share` of the total is
-/// left. Each entry has the work per weight and the weight.
-fn fair_level(works: &mut [(f64, f64)], share: f64) -> f64 {
-    works.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    let total: f64 = works.iter().map(|(work, weight)| work * weight).sum();
-    let mut room = share * total;
-    let mut weight_left: f64 = works.iter().map(|(_, weight)| weight).sum();
-    for (work, weight) in works.iter() {
-        if work * weight_left >= room {
-            break;
-        }
-        room -= work * weight;
-        weight_left -= weight;
+/// The entry of a name, without a copy of the name if it exists.
+fn entry<'a, V: Default>(entries: &'a mut HashMap<String, V>, name: &str) -> &'a mut V {
+    if !entries.contains_key(name) {
+        entries.insert(name.to_string(), V::default());
     }
-    room / weight_left.max(f64::MIN_POSITIVE)
+    entries.get_mut(name).expect("it was inserted")
 }
 
 fn forget_least<V>(entries: &mut HashMap<String, V>, amount: impl Fn(&V) -> f64) {
