--- a/crates/admission/src/pressure.rs
+++ b/crates/admission/src/pressure.rs
@@ -15,7 +15,7 @@
 /// few older ones.
 const MIN_REPORT_WEIGHT: f64 = 1.0;
 
-/// The same for a zone with a single endpoint, which may not report often.
+/// The same for a service with a single endpoint, which may not report often.
 const MIN_SINGLE_REPORT_WEIGHT: f64 = 0.1;
 
 /// Load per slot at which the load of a single endpoint is capped. An endpoint that is
@@ -80,7 +80,7 @@
 
 fn average(loads: &[EndpointLoad], is_remote: bool) -> Option<Average> {
     let in_zone = loads.iter().filter(|load| load.is_remote == is_remote);
-    let is_single = in_zone.clone().count() == 1;
+    let is_single = loads.len() == 1;
     let reported: Vec<(f64, f64)> = in_zone
         .filter_map(|load| {
             let age_ms = load.report_age_ms?;
--- a/crates/admission/tests/decision.rs
+++ b/crates/admission/tests/decision.rs
@@ -178,6 +178,19 @@
     assert_eq!(pressure.queueing_turns, 0.0);
 }
 
+/// Guards against the same where the endpoint is the only one in its zone.
+#[test]
+fn a_single_endpoint_in_the_zone_causes_no_pressure_while_there_are_others() {
+    let unknown = EndpointLoad {
+        load_per_slot: 0.0,
+        report_age_ms: None,
+        is_remote: true,
+    };
+    let alone = load(3.0, 0, false);
+    assert_eq!(Pressure::of(&[alone, unknown, unknown]), None);
+    assert!(Pressure::of(&[alone]).is_some_and(|now| now.queueing_turns > 1.0));
+}
+
 #[test]
 fn the_less_loaded_of_home_and_other_zones_counts() {
     let home = [
