--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
     Opts, Registry, TextEncoder,
 };
 
+use crate::balance::PickReason;
 use crate::retry::Outcome;
 
 /// Histogram buckets for latencies, in seconds: from a plain service without load up to the
@@ -24,6 +25,7 @@
     refusals: IntCounterVec,
     failures: IntCounterVec,
     limited_sends: IntCounterVec,
+    placements: IntCounterVec,
     crashes: IntCounter,
     broken: IntGauge,
     evacuated_zones: IntGauge,
@@ -90,6 +92,11 @@
             "Requests for tokens of endpoints that limit the rate of requests, by outcome",
             &["outcome"],
         );
+        let placements = counter(
+            "jayreel_placements_total",
+            "Endpoints chosen for sends, by the reason of the choice",
+            &["reason"],
+        );
         let crashes = IntCounter::new(
             "jayreel_endpoint_crashes_total",
             "Crashes of endpoints at which requests of this instance were lost",
@@ -124,6 +131,7 @@
             Box::new(refusals.clone()),
             Box::new(failures.clone()),
             Box::new(limited_sends.clone()),
+            Box::new(placements.clone()),
             Box::new(crashes.clone()),
             Box::new(broken.clone()),
             Box::new(evacuated_zones.clone()),
@@ -143,6 +151,7 @@
             refusals,
             failures,
             limited_sends,
+            placements,
             crashes,
             broken,
             evacuated_zones,
@@ -199,6 +208,16 @@
         self.limited_sends.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts the choice of an endpoint for a send.
+    pub(crate) fn placed(&self, reason: PickReason) {
+        let reason = match reason {
+            PickReason::Affinity => "affinity",
+            PickReason::Score => "score",
+            PickReason::Overflow => "overflow",
+        };
+        self.placements.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a crash of an endpoint at which requests of this instance were lost.
     pub(crate) fn endpoint_crashed(&self) {
         self.crashes.inc();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,17 +35,16 @@
     pub limits: ProcessLimits,
     /// Guarantees given to operators and callers.
     pub bounds: Bounds,
-    /// Optional parts that this deployment uses.
+    /// What the installation needs beyond the basic service.
     pub features: Features,
 }
 
-/// Optional parts. None of them is in use by default.
+/// Switches for parts that only some installations need.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Features {
-    /// Endpoints don't always have capacity for all callers, so programs are admitted within the
-    /// capacity.
+    /// Demand exceeds the capacity of the endpoints at times.
     pub scarce_capacity: bool,
-    /// The availability zones are managed: requests are placed by zone.
+    /// Operators evacuate availability zones, and demand shifts between them.
     pub managed_zones: bool,
 }
 
