Limit the rate of requests to endpoints that are cold

Cause: an endpoint that starts during traffic, or becomes cold again, got its share from each entry instance at once and crashes well above coldPerS.

Change: the tokens for limits that endpoints advertise now serve this too. - coldLeftMs of registry entries, the header Cold-Ms, coldStartS and coldPerS of services, coldOverrun and coldSlack are decoded. An invalid value is logged and ignored; the entry or configuration holds. - Members grant shares of coldPerS until the latest reported end of the cold time, then raise the rate as after a lifted limit. Requests for tokens carry the cold time, so that a member needs no report. An endpoint that becomes cold while in use gets no tokens for a second. - EndpointView keeps the end of the cold time instead of the time left, so that rewritten entries are no changes, and sends the time left on from there. - Without coldStartS or coldPerS no token and no message is needed.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -111,6 +111,8 @@
     pub is_remote: bool,
     /// Whether the endpoint limits the rate of requests, so that a token is needed.
     pub needs_token: bool,
+    /// Whether the rate is limited because it is cold, or was until a moment ago.
+    pub is_cold: bool,
 }
 
 /// Load, errors and latency of all endpoints, as one entry instance observes them.
@@ -122,6 +124,9 @@
     by_id: HashMap<String, EndpointKey>,
     /// Average time to first byte by service, in milliseconds.
     service_latency_ms: HashMap<String, f64>,
+    /// Rates of cold endpoints by service, in requests per second. Services without one are left
+    /// out.
+    cold_rates: HashMap<String, f64>,
 }
 
 impl Balancer {
@@ -132,6 +137,7 @@
             endpoints: SlotMap::with_key(),
             by_id: HashMap::new(),
             service_latency_ms: HashMap::new(),
+            cold_rates: HashMap::new(),
         }
     }
 
@@ -153,6 +159,7 @@
 
     fn insert(&mut self, entry: EndpointEntry) {
         let id = entry.id.clone();
+        let cold_per_s = self.cold_rates.get(&entry.service).copied();
         let key = self.endpoints.insert(Endpoint {
             entry,
             own_requests: 0,
@@ -162,7 +169,7 @@
             paused_until_ms: 0,
             is_suspended: false,
             is_leaving: false,
-            limit: LimitView::default(),
+            limit: LimitView::new(cold_per_s.unwrap_or_default()),
             slowness: 1.0,
             slowness_ms: 0,
             error_rate: 0.0,
@@ -259,6 +266,7 @@
             address: endpoint.entry.address,
             is_remote: endpoint.entry.availability_zone != self.availability_zone,
             needs_token: endpoint.limit.needs_token(now_ms),
+            is_cold: endpoint.limit.is_cold(now_ms),
         }
     }
 
@@ -339,10 +347,47 @@
             let endpoint = key.and_then(|key| self.endpoints.get_mut(key));
             if let Some(endpoint) = endpoint {
                 endpoint.limit.learn(requested_ms, limit.report);
+                if let Some(cold) = limit.cold {
+                    endpoint.limit.learn_cold(requested_ms, cold);
+                }
             }
         }
     }
 
+    /// Takes the rates of cold endpoints by service, in requests per second.
+    pub fn set_cold_rates(&mut self, cold_rates: HashMap<String, f64>) {
+        for endpoint in self.endpoints.values_mut() {
+            let cold_per_s = cold_rates.get(&endpoint.entry.service).copied();
+            endpoint.limit.set_cold_rate(cold_per_s.unwrap_or_default());
+        }
+        self.cold_rates = cold_rates;
+    }
+
+    /// Takes the cold time in the registry entry of an endpoint. Returns whether its rate is
+    /// limited now and that is news.
+    pub fn register_cold(&mut self, now_ms: u64, id: &str, left_ms: u64) -> bool {
+        let key = self.by_id.get(id).copied();
+        let endpoint = key.and_then(|key| self.endpoints.get_mut(key));
+        endpoint.is_some_and(|endpoint| {
+            left_ms > 0
+                && endpoint.limit.extend_cold(now_ms + left_ms)
+                && endpoint.limit.is_cold(now_ms)
+        })
+    }
+
+    /// Records the cold time that a response of the endpoint named. Returns what to tell the
+    /// members, if they should be told.
+    pub fn hear_cold(
+        &mut self,
+        now_ms: u64,
+        key: EndpointKey,
+        left_ms: u64,
+    ) -> Option<EndpointLimit> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        let is_news = endpoint.limit.hear_cold(now_ms, left_ms);
+        is_news.then(|| endpoint.limit_report(now_ms))
+    }
+
     /// Records that no member has a token for an endpoint for `wait_ms`.
     pub fn exhaust_limit(&mut self, now_ms: u64, key: EndpointKey, wait_ms: u64) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
@@ -459,6 +504,7 @@
         EndpointLimit {
             endpoint: self.entry.id.clone(),
             report: self.limit.report(now_ms),
+            cold: self.limit.cold_report(now_ms),
         }
     }
 
@@ -495,7 +541,7 @@
 }
 
 /// Whether two entries with the same identifier are of the same run of an endpoint.
-fn is_same_run(known: &EndpointEntry, new: &EndpointEntry) -> bool {
+pub(crate) fn is_same_run(known: &EndpointEntry, new: &EndpointEntry) -> bool {
     known.address == new.address
         && known.service == new.service
         && known.started_unix_ms == new.started_unix_ms
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -125,6 +125,18 @@
     pub max_connections: usize,
     /// Present if the endpoints are model engines.
     pub engine: Option<Engine>,
+    /// How long an endpoint is usually cold after its start, in milliseconds. 0 if never.
+    pub cold_start_ms: u64,
+    /// Requests per second that a cold endpoint can handle, from all entry instances together. 0
+    /// for no limit.
+    pub cold_per_s: f64,
+}
+
+impl Service {
+    /// The rate to which cold endpoints are limited, in requests per second. `None` for no limit.
+    pub fn cold_limit_per_s(&self) -> Option<f64> {
+        (self.cold_start_ms > 0 && self.cold_per_s > 0.0).then_some(self.cold_per_s)
+    }
 }
 
 /// Properties of the model engines of a service.
@@ -135,6 +147,16 @@
 }
 
 impl Configuration {
+    /// The rates of cold endpoints by service, in requests per second. Services without one are
+    /// left out.
+    pub fn cold_rates(&self) -> HashMap<String, f64> {
+        let services = self.services.iter();
+        let rates = services.filter_map(|(name, service)| {
+            Some((name.clone(), service.cold_limit_per_s()?))
+        });
+        rates.collect()
+    }
+
     /// The route of a request: the one of its host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.routes.iter();
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -79,6 +79,10 @@
     /// Unix time of its start in milliseconds, if the entry has one. Differs after a restart
     /// under the same identifier.
     pub started_unix_ms: Option<u64>,
+    /// How much longer the endpoint is cold, that is slow after its start, in milliseconds: from
+    /// when the entry was written, in an entry that another instance sent from then. 0 if it is
+    /// not cold.
+    pub cold_left_ms: u64,
 }
 
 /// All registered endpoints as of a store revision.
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -291,6 +291,9 @@
         && parts.status != StatusCode::MISDIRECTED_REQUEST;
     if is_own_response {
         edge.record_endpoint_limit(pick.key, sent_ms, head.limit_per_s);
+        if let Some(left_ms) = head.cold_left_ms {
+            edge.record_endpoint_cold(pick.key, left_ms);
+        }
     }
     connection.idle_ms = idle_ms(&parts.headers);
     let outcome = match classify_response(&head, parts.status, &outgoing.request_id) {
--- a/crates/gateway/src/edge/limits.rs
+++ b/crates/gateway/src/edge/limits.rs
@@ -1,4 +1,4 @@
-//! Choice of an endpoint within the rate limits that endpoints set.
+//! Choice of an endpoint within the rate limits that endpoints set, and those of cold endpoints.
 //!
 //! A request to an endpoint with a limit needs a token, which the members of the storage group
 //! grant. What such an endpoint cannot take goes to others; only if all of them have reached
@@ -22,6 +22,11 @@
 /// How long an endpoint is left out if no member responded, in milliseconds.
 const NO_MEMBER_PAUSE_MS: u64 = 100;
 
+/// Age at which a token of a cold endpoint is not used any more, in milliseconds, counted from the
+/// request for it. An instance that was stopped meanwhile would use tokens of several seconds at
+/// once.
+const MAX_COLD_TOKEN_AGE_MS: u64 = 150;
+
 impl Edge {
     /// Chooses an endpoint like `Balancer::pick`, and takes a token for it if it needs one.
     pub(crate) async fn pick_within_limits(
@@ -56,15 +61,33 @@
         let (limited, unlimited): (Vec<Pick>, Vec<Pick>) =
             candidates.into_iter().partition(|pick| pick.needs_token);
         let mut waits_ms: Vec<Option<u64>> = vec![None; limited.len()];
-        for member in self.members.nearest_first(service) {
+        let has_cold = limited.iter().any(|pick| pick.is_cold);
+        let members = match has_cold && !self.members.contact().has_member(now_ms()) {
+            // Without contact nobody answers, and the request would wait for each member in turn.
+            true => Vec::new(),
+            false => self.members.nearest_first(service),
+        };
+        for member in members {
             let limits = self.limit_reports(&limited);
+            let requested_ms = now_ms();
             let Some(grant) = self.members.take_send(&member, limits).await else {
                 continue;
             };
             let granted = grant.granted.and_then(|index| limited.get(index as usize));
-            if let Some(pick) = granted {
-                self.metrics.limited_send("granted");
-                return Some(pick.clone());
+            let age_ms = now_ms().saturating_sub(requested_ms);
+            match granted {
+                Some(pick) if pick.is_cold && age_ms > MAX_COLD_TOKEN_AGE_MS => {
+                    self.metrics.cold_send("expired");
+                    continue;
+                }
+                Some(pick) => {
+                    self.metrics.limited_send("granted");
+                    if pick.is_cold {
+                        self.metrics.cold_send("granted");
+                    }
+                    return Some(pick.clone());
+                }
+                None => {}
             }
             for (shortest_ms, wait_ms) in waits_ms.iter_mut().zip(grant.waits_ms) {
                 let wait_ms = u64::from(wait_ms);
@@ -72,6 +95,9 @@
             }
         }
         self.metrics.limited_send("denied");
+        if has_cold {
+            self.metrics.cold_send("denied");
+        }
         let mut balancer = self.balancer.borrow_mut();
         for (pick, wait_ms) in limited.iter().zip(waits_ms) {
             let wait_ms = wait_ms.unwrap_or(NO_MEMBER_PAUSE_MS);
@@ -110,4 +136,17 @@
             self.members.report_limit(limit);
         }
     }
+
+    /// Records the cold time that the response of an endpoint named, and tells the members if that
+    /// is news.
+    pub(crate) fn record_endpoint_cold(&self, key: EndpointKey, left_ms: u64) {
+        let news = self.balancer.borrow_mut().hear_cold(now_ms(), key, left_ms);
+        if let Some(limit) = news {
+            log::info!(
+                "event=endpoint_cold endpoint={} left_ms={left_ms} source=response",
+                limit.endpoint,
+            );
+            self.members.report_limit(limit);
+        }
+    }
 }
--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -195,6 +195,8 @@
                     configuration.routes.len(),
                     configuration.customers.len(),
                 );
+                let cold_rates = configuration.cold_rates();
+                self.balancer.borrow_mut().set_cold_rates(cold_rates);
                 self.configuration_revision.set(read.revision);
                 *self.configuration.borrow_mut() = Rc::new(configuration);
                 self.freshness.borrow_mut().confirm(read_began_ms);
@@ -287,7 +289,14 @@
                         entry.service,
                         entry.is_draining
                     );
+                    let (id, left_ms) = (entry.id.clone(), entry.cold_left_ms);
                     balancer.upsert(entry);
+                    if balancer.register_cold(now_ms(), &id, left_ms) {
+                        log::info!(
+                            "event=endpoint_cold endpoint={id} left_ms={left_ms} \
+                             source=registry"
+                        );
+                    }
                 }
                 EndpointChange::Removed(id) => {
                     log::info!("event=endpoint_gone id={id}");
--- a/crates/gateway/src/endpoint_view.rs
+++ b/crates/gateway/src/endpoint_view.rs
@@ -6,8 +6,9 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-use jayreel_ledger::EndpointCursor;
+use jayreel_ledger::{COLD_END_TOLERANCE_MS, EndpointCursor, MAX_COLD_MS};
 
+use crate::balance::is_same_run;
 use crate::directory::{
     EndpointChange, EndpointChanges, EndpointEntry, EndpointSnapshot, MetadataError,
     MetadataStore,
@@ -80,7 +81,11 @@
     /// Until this time the store may lack entries of endpoints that still run, so no updates
     /// are sent.
     settled_at_ms: u64,
+    /// By identifier. `cold_left_ms` is 0 in all of them, here and in `recent_changes`.
     entries: BTreeMap<String, EndpointEntry>,
+    /// The ends of the cold times of endpoints in `entries`, by identifier. Endpoints write their
+    /// entries again and again with the time left, which is a change only if the end is later.
+    cold_until_ms: HashMap<String, u64>,
     /// Endpoints whose entries disappeared during a store outage, and when that was noticed.
     /// They stay in `entries` for [`MISSING_GRACE_MS`].
     missing_since_ms: HashMap<String, u64>,
@@ -117,13 +122,13 @@
                 let listed = entries.map(|entry| entry.id.clone()).collect();
                 self.handle_unlisted(now_ms, &listed, was_connected, &mut applied);
                 for entry in snapshot.entries {
-                    self.apply(EndpointChange::Present(entry), &mut applied);
+                    self.apply(now_ms, EndpointChange::Present(entry), &mut applied);
                 }
             }
             EndpointRead::Changed(changes) => {
                 self.revision = self.revision.max(changes.revision);
                 for change in changes.changes {
-                    self.apply(change, &mut applied);
+                    self.apply(now_ms, change, &mut applied);
                 }
             }
         }
@@ -153,7 +158,7 @@
             self.handle_unlisted(now_ms, &listed.collect(), true, &mut applied);
         }
         for change in update.changes {
-            self.apply(change, &mut applied);
+            self.apply(now_ms, change, &mut applied);
         }
         applied.extend(self.remove_expired(now_ms));
         Some(applied)
@@ -187,11 +192,13 @@
         let changes = match is_complete {
             true => {
                 let entries = self.entries.values().cloned();
-                entries.map(EndpointChange::Present).collect()
+                let entries = entries.map(EndpointChange::Present);
+                entries.map(|change| self.aged(now_ms, change)).collect()
             }
             false => {
                 let known = self.recent_changes.len() - missed;
-                self.recent_changes.iter().skip(known).cloned().collect()
+                let changes = self.recent_changes.iter().skip(known).cloned();
+                changes.map(|change| self.aged(now_ms, change)).collect()
             }
         };
         Some(EndpointUpdate {
@@ -205,16 +212,72 @@
         })
     }
 
+    /// The endpoints that are cold, with the time left in `cold_left_ms`.
+    pub(crate) fn cold_endpoints(&self, now_ms: u64) -> Vec<EndpointEntry> {
+        let cold = self.cold_until_ms.iter();
+        let cold = cold.filter(|(_, until_ms)| now_ms < **until_ms);
+        let entries = cold.filter_map(|(id, until_ms)| {
+            let entry = self.entries.get(id)?.clone();
+            Some(EndpointEntry {
+                cold_left_ms: until_ms - now_ms,
+                ..entry
+            })
+        });
+        entries.collect()
+    }
+
+    /// A change with the cold time that is left now.
+    fn aged(&self, now_ms: u64, change: EndpointChange) -> EndpointChange {
+        match change {
+            EndpointChange::Present(mut entry) => {
+                let until_ms = self.cold_until_ms.get(&entry.id).copied();
+                let until_ms = until_ms.unwrap_or_default();
+                entry.cold_left_ms = until_ms.saturating_sub(now_ms);
+                EndpointChange::Present(entry)
+            }
+            removed @ EndpointChange::Removed(_) => removed,
+        }
+    }
+
+    /// Takes the cold time out of an entry that is about to be inserted. Returns whether the
+    /// endpoint is cold for longer than was known.
+    ///
+    /// When the entry was written is not known, so the time left counts from now on, and an entry
+    /// that says less does not shorten it: it may be older, or of an earlier cold time.
+    fn take_cold(&mut self, now_ms: u64, entry: &mut EndpointEntry) -> bool {
+        let left_ms = std::mem::take(&mut entry.cold_left_ms).min(MAX_COLD_MS);
+        let before = self.entries.get(&entry.id);
+        if before.is_some_and(|before| !is_same_run(before, entry)) {
+            self.cold_until_ms.remove(&entry.id);
+        }
+        let known_ms = self.cold_until_ms.get(&entry.id).copied();
+        let until_ms = now_ms + left_ms;
+        let is_longer = left_ms > 0
+            && known_ms
+                .is_none_or(|known_ms| until_ms > known_ms + COLD_END_TOLERANCE_MS);
+        if is_longer {
+            self.cold_until_ms.insert(entry.id.clone(), until_ms);
+        }
+        is_longer
+    }
+
     /// Applies one change. Adds it to `applied` if it made a difference.
-    fn apply(&mut self, change: EndpointChange, applied: &mut Vec<EndpointChange>) {
-        let is_effective = match &change {
+    fn apply(
+        &mut self,
+        now_ms: u64,
+        mut change: EndpointChange,
+        applied: &mut Vec<EndpointChange>,
+    ) {
+        let is_effective = match &mut change {
             EndpointChange::Present(entry) => {
                 self.missing_since_ms.remove(&entry.id);
+                let is_colder = self.take_cold(now_ms, entry);
                 let before = self.entries.insert(entry.id.clone(), entry.clone());
-                before.as_ref() != Some(entry)
+                is_colder || before.as_ref() != Some(entry)
             }
             EndpointChange::Removed(id) => {
                 self.missing_since_ms.remove(id);
+                self.cold_until_ms.remove(id);
                 self.entries.remove(id).is_some()
             }
         };
@@ -224,7 +287,7 @@
             if self.recent_changes.len() > MAX_RECENT_CHANGES {
                 self.recent_changes.pop_front();
             }
-            applied.push(change);
+            applied.push(self.aged(now_ms, change));
         }
     }
 
@@ -242,7 +305,7 @@
             known.filter(|id| !listed.contains(*id)).cloned().collect();
         for id in absent {
             match was_connected {
-                true => self.apply(EndpointChange::Removed(id), applied),
+                true => self.apply(now_ms, EndpointChange::Removed(id), applied),
                 false => {
                     self.missing_since_ms.entry(id).or_insert(now_ms);
                 }
@@ -259,7 +322,7 @@
             .collect();
         let mut applied = Vec::new();
         for id in expired {
-            self.apply(EndpointChange::Removed(id), &mut applied);
+            self.apply(now_ms, EndpointChange::Removed(id), &mut applied);
         }
         applied
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     refusals: IntCounterVec,
     failures: IntCounterVec,
     limited_sends: IntCounterVec,
+    cold_sends: IntCounterVec,
     crashes: IntCounter,
     broken: IntGauge,
     open_connections: Rc<Cell<usize>>,
@@ -82,6 +83,11 @@
             "Requests for tokens of endpoints that limit the rate of requests, by outcome",
             &["outcome"],
         );
+        let cold_sends = counter(
+            "jayreel_cold_sends_total",
+            "Requests for tokens of cold endpoints, by outcome",
+            &["outcome"],
+        );
         let crashes = IntCounter::new(
             "jayreel_endpoint_crashes_total",
             "Crashes of endpoints at which requests of this instance were lost",
@@ -90,12 +96,13 @@
         let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
             .expect("the names of metrics are valid");
         let registry = Registry::new();
-        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(first_byte_s.clone()),
             Box::new(complete_s.clone()),
             Box::new(refusals.clone()),
             Box::new(failures.clone()),
             Box::new(limited_sends.clone()),
+            Box::new(cold_sends.clone()),
             Box::new(crashes.clone()),
             Box::new(broken.clone()),
         ];
@@ -111,6 +118,7 @@
             refusals,
             failures,
             limited_sends,
+            cold_sends,
             crashes,
             broken,
             open_connections: Rc::default(),
@@ -146,6 +154,11 @@
         self.limited_sends.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request for a token of a cold endpoint.
+    pub(crate) fn cold_send(&self, outcome: &str) {
+        self.cold_sends.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a crash of an endpoint at which requests of this instance were lost.
     pub(crate) fn endpoint_crashed(&self) {
         self.crashes.inc();
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -104,6 +104,8 @@
     /// Requests per second that the endpoint accepts from all instances together. None if it sets
     /// no limit.
     pub limit_per_s: Option<f64>,
+    /// How much longer the endpoint is cold, in milliseconds. None if it does not say.
+    pub cold_left_ms: Option<u64>,
 }
 
 /// Decodes and builds the headers of callers and endpoints on one platform.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use jayreel_ledger::RateTolerance;
+use jayreel_ledger::{ColdTolerance, RateTolerance};
 
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,6 +56,8 @@
     pub revocation_ms: u64,
     /// Window and slack with which customers' rates are checked.
     pub rate_tolerance: RateTolerance,
+    /// How far the rates of cold endpoints may be exceeded.
+    pub cold_tolerance: ColdTolerance,
     /// Time within which a planned shutdown must be complete, in milliseconds.
     pub stop_ms: u64,
 }
--- a/crates/gateway/src/storage/maintenance.rs
+++ b/crates/gateway/src/storage/maintenance.rs
@@ -186,6 +186,7 @@
             stored,
             version: configuration.version,
             limits: limits.collect(),
+            cold_rates: configuration.cold_rates(),
         }
     });
     Event::ConfigurationRead {
--- a/crates/gateway/src/storage/node.rs
+++ b/crates/gateway/src/storage/node.rs
@@ -1,13 +1,13 @@
 //! The state of a storage instance. It changes only by events, which a single reducer handles
 //! without I/O: [`Node::apply`] returns the effects for the caller to carry out.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use bytes::Bytes;
 use jayreel_ledger::{
-    CopyPart, CrashSuspects, EndpointLimits, FrameLocation, Group, LedgerRecord,
-    LedgerState, Member, MembershipState, RateLimit, RateShare, RateTolerance, Reply,
-    Request, TurnDigest, TurnRecord, encode_frame, turn_digest,
+    ColdTolerance, CopyPart, CrashSuspects, EndpointLimits, FrameLocation, Group,
+    LedgerRecord, LedgerState, Member, MembershipState, RateLimit, RateShare,
+    RateTolerance, Reply, Request, TurnDigest, TurnRecord, encode_frame, turn_digest,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -33,6 +33,8 @@
     pub version: u64,
     /// Customer names and their rate limits.
     pub limits: Vec<(String, RateLimit)>,
+    /// Rates of cold endpoints by service, in requests per second.
+    pub cold_rates: HashMap<String, f64>,
 }
 
 /// Input of the reducer.
@@ -132,6 +134,8 @@
     pub is_first_start: bool,
     /// Tolerance of customers' rate limits.
     pub tolerance: RateTolerance,
+    /// How far the rates of cold endpoints may be exceeded.
+    pub cold_tolerance: ColdTolerance,
     /// Space for records on disk and in memory.
     pub limits: StorageLimits,
 }
@@ -193,6 +197,8 @@
     pub(super) endpoints: EndpointView,
     /// This instance's share of the rates that endpoints accept.
     pub(super) endpoint_limits: EndpointLimits,
+    /// Rates of cold endpoints by service, in requests per second.
+    pub(super) cold_rates: HashMap<String, f64>,
     /// Requests that may crash endpoints.
     pub(super) crash_suspects: CrashSuspects,
     /// Entry instances of this instance's availability zone.
@@ -218,6 +224,7 @@
             name,
             is_first_start,
             tolerance,
+            cold_tolerance,
             limits,
         } = options;
         let mut state = recovered.state;
@@ -253,7 +260,8 @@
             previous_shares: None,
             freshness: Freshness::default(),
             endpoints: EndpointView::new(start),
-            endpoint_limits: EndpointLimits::default(),
+            endpoint_limits: EndpointLimits::new(cold_tolerance),
+            cold_rates: HashMap::new(),
             crash_suspects: CrashSuspects::new(start),
             presence: PresenceTracker::default(),
             configuration: Bytes::new(),
@@ -344,6 +352,7 @@
             }
             Event::EndpointsRead(read) => {
                 self.endpoints.apply_read(now_ms, read);
+                self.register_cold(now_ms);
                 Vec::new()
             }
             Event::Tick => {
@@ -584,6 +593,8 @@
             Some(update) if revision > self.configuration_revision => {
                 self.configuration_revision = revision;
                 self.configuration = update.stored;
+                self.cold_rates = update.cold_rates;
+                self.register_cold(now_ms);
                 for (customer, limit) in update.limits {
                     self.rates
                         .set_limit(now_ms, update.version, &customer, limit);
--- a/crates/gateway/src/storage/requests.rs
+++ b/crates/gateway/src/storage/requests.rs
@@ -1,7 +1,7 @@
 //! Handling of requests from other instances.
 
 use jayreel_ledger::{
-    CrashReport, EndpointCursor, EndpointLimit, LedgerRecord, MemberRequest,
+    ColdReport, CrashReport, EndpointCursor, EndpointLimit, LedgerRecord, MemberRequest,
     MemberResponse, MembershipState, ProgramKey, QuotaPurpose, QuotaRequest, Reply,
     Request, Reservation, SharedChanges, SharedConfiguration, SharedEndpoints,
     SuspectsVersion,
@@ -75,6 +75,7 @@
             MemberRequest::ReportLimits(limits) => {
                 for limit in &limits {
                     self.report_limit(now_ms, limit);
+                    self.report_cold(now_ms, limit, "report");
                 }
                 vec![reply_now(MemberResponse::Done)]
             }
@@ -97,7 +98,17 @@
                 }
                 vec![reply_now(MemberResponse::Done)]
             }
+            MemberRequest::TakeSend(candidates)
+                if group_version > self.group.version
+                    && candidates.iter().any(|limit| limit.cold.is_some()) =>
+            {
+                // The group may have become larger, so that this share would be too large.
+                vec![reply_now(MemberResponse::Unavailable)]
+            }
             MemberRequest::TakeSend(candidates) if self.is_voting() => {
+                for limit in &candidates {
+                    self.report_cold(now_ms, limit, "token_request");
+                }
                 let shares = self.shares(now_ms);
                 let grant = self.endpoint_limits.take(now_ms, &candidates, shares);
                 vec![reply_now(MemberResponse::Send(grant))]
@@ -235,6 +246,37 @@
         }
     }
 
+    /// Takes the cold time of an endpoint from a request of an entry instance.
+    fn report_cold(&mut self, now_ms: u64, limit: &EndpointLimit, source: &str) {
+        let Some(cold) = limit.cold else { return };
+        let endpoint = &limit.endpoint;
+        if self.endpoint_limits.report_cold(now_ms, endpoint, cold) {
+            let ColdReport { left_ms, per_s, .. } = cold;
+            log::info!(
+                "event=endpoint_cold endpoint={endpoint} left_ms={left_ms} per_s={per_s} \
+                 source={source}"
+            );
+        }
+    }
+
+    /// Takes the cold times of endpoints from the registry.
+    pub(super) fn register_cold(&mut self, now_ms: u64) {
+        for entry in self.endpoints.cold_endpoints(now_ms) {
+            let Some(per_s) = self.cold_rates.get(&entry.service).copied() else {
+                continue;
+            };
+            let limit = EndpointLimit {
+                cold: Some(ColdReport {
+                    left_ms: entry.cold_left_ms as i64,
+                    per_s,
+                    was_in_use: false,
+                }),
+                ..EndpointLimit::unlimited(&entry.id)
+            };
+            self.report_cold(now_ms, &limit, "registry");
+        }
+    }
+
     /// Counts a crash for the requests that were lost in it.
     fn report_crash(&mut self, now_ms: u64, report: &CrashReport) -> MemberResponse {
         for fingerprint in self.crash_suspects.report(now_ms, report) {
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -98,6 +98,7 @@
         name: settings.name.clone(),
         is_first_start: settings.is_first_start,
         tolerance: settings.bounds.rate_tolerance,
+        cold_tolerance: settings.bounds.cold_tolerance,
         limits,
     };
     let node = Node::new(options, now_ms(), log);
@@ -283,6 +284,10 @@
             ("read_bytes", usage.read_bytes),
             ("reply_bytes", self.reply_budget.used_bytes() as u64),
             ("endpoint_limits", node.endpoint_limits().len() as u64),
+            (
+                "cold_endpoints",
+                node.endpoint_limits().cold(now_ms()) as u64,
+            ),
             ("crash_suspects", node.crash_suspects().len() as u64),
             ("given_up_requests", node.crash_suspects().given_up() as u64),
         ];
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -13,6 +13,7 @@
         slots: 12,
         is_draining: false,
         started_unix_ms: Some(1),
+        cold_left_ms: 0,
     }
 }
 
@@ -274,6 +275,7 @@
             limit_per_s,
             age_ms,
         },
+        cold: None,
     }
 }
 
--- a/crates/gateway/tests/endpoint_view.rs
+++ b/crates/gateway/tests/endpoint_view.rs
@@ -19,6 +19,7 @@
         slots: 12,
         is_draining: false,
         started_unix_ms: Some(1),
+        cold_left_ms: 0,
     }
 }
 
@@ -212,3 +213,67 @@
         }
     }
 }
+
+fn cold(id: &str, cold_left_ms: u64) -> EndpointChange {
+    EndpointChange::Present(EndpointEntry {
+        cold_left_ms,
+        ..entry(id)
+    })
+}
+
+/// A cold endpoint rewrites its entry again and again with the time left. Each of these would be
+/// sent to all entry instances. Entries arrive up to a batch of changes late.
+#[test]
+fn counting_down_of_a_cold_time_is_no_change() {
+    let mut view = EndpointView::new(1);
+    view.apply_read(0, listed(1, &["one"], true));
+    let first = view.apply_read(1_000, changed(2, &[cold("one", 3_000)]));
+    assert_eq!(first, [cold("one", 3_000)]);
+    let mut changes = 0;
+    for (revision, now_ms) in (3..).zip((1_200..6_000).step_by(200)) {
+        let left_ms = 4_000_u64.saturating_sub(now_ms) + now_ms % 3 * 100;
+        let left_ms = if now_ms < 4_000 { left_ms } else { 0 };
+        let read = changed(revision, &[cold("one", left_ms)]);
+        changes += view.apply_read(now_ms, read).len();
+    }
+    assert_eq!(changes, 0);
+    let again = view.apply_read(9_000, changed(99, &[cold("one", 2_500)]));
+    assert_eq!(again, [cold("one", 2_500)], "it is cold again");
+}
+
+/// An instance that starts or reconnects later learns how long the endpoint is cold from then on.
+/// Otherwise it would count the whole cold time again.
+#[test]
+fn cold_time_in_an_update_has_aged() {
+    let mut view = EndpointView::new(1);
+    view.apply_read(0, listed(1, &["one"], true));
+    let known = view.update_since(0, EndpointCursor::default());
+    let known = known.expect("the store was read").cursor;
+    view.apply_read(1_000, changed(2, &[cold("one", 3_000)]));
+    let mut changes_at = |now_ms, since| {
+        view.apply_read(now_ms, changed(2, &[]));
+        view.update_since(now_ms, since).expect("an update").changes
+    };
+    assert_eq!(changes_at(1_800, known), [cold("one", 2_200)]);
+    let all = EndpointCursor::default();
+    assert_eq!(changes_at(2_500, all), [cold("one", 1_500)]);
+    assert_eq!(changes_at(4_500, known), [cold("one", 0)]);
+}
+
+/// A restart under the same identifier is another endpoint, and so is one that registers again.
+#[test]
+fn cold_time_ends_with_the_run_and_with_the_entry() {
+    let mut view = EndpointView::new(1);
+    view.apply_read(0, changed(1, &[cold("one", 10_000)]));
+    let restarted = EndpointEntry {
+        started_unix_ms: Some(2),
+        cold_left_ms: 500,
+        ..entry("one")
+    };
+    let restarted = EndpointChange::Present(restarted);
+    let changes = view.apply_read(100, changed(2, std::slice::from_ref(&restarted)));
+    assert_eq!(changes, [restarted]);
+    view.apply_read(200, changed(3, &[removed("one")]));
+    let returned = view.apply_read(300, changed(4, &[present("one")]));
+    assert_eq!(returned, [present("one")]);
+}
--- a/crates/gateway/tests/storage.rs
+++ b/crates/gateway/tests/storage.rs
@@ -2,14 +2,19 @@
 
 mod support;
 
-use jayreel_gateway::storage::{Effect, Event, Node};
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use jayreel_gateway::storage::{ConfigurationUpdate, Effect, Event, Node};
+use jayreel_gateway::{EndpointEntry, EndpointRead, EndpointSnapshot};
 use jayreel_ledger::{
-    CopyCursor, Group, LedgerRecord, LogEntry, MemberRequest, MemberResponse,
-    QuotaPurpose, QuotaRequest, RateLimit,
+    ColdReport, CopyCursor, EndpointLimit, Group, LedgerRecord, LogEntry, MemberRequest,
+    MemberResponse, QuotaPurpose, QuotaRequest, RateLimit,
 };
 use support::{
     append_number, decode_heads, member, node, reservation, responses, send, turn_record,
 };
+use test_case::test_case;
 
 /// A request for a turn and up to nine before it.
 fn chain(turn: String) -> MemberRequest {
@@ -317,3 +322,93 @@
         "it may have voted with c"
     );
 }
+
+fn cold_limit(left_ms: i64) -> EndpointLimit {
+    EndpointLimit {
+        cold: Some(ColdReport {
+            left_ms,
+            per_s: 28.0,
+            was_in_use: false,
+        }),
+        ..EndpointLimit::unlimited("new")
+    }
+}
+
+fn voting_node() -> Node {
+    let records = [LedgerRecord::Complete { group_version: 1 }];
+    let mut node = node("a", false, 0, &records);
+    node.apply(0, Event::GroupReceived(group()));
+    assert!(node.is_voting());
+    node
+}
+
+/// A member that has just started has no reports. It knows from the registry and the configuration
+/// which endpoints are cold, whichever it reads first, and tells entry instances.
+#[test_case(true)]
+#[test_case(false)]
+fn restarted_member_knows_cold_endpoints_from_the_registry(reads_registry_first: bool) {
+    let mut node = voting_node();
+    let entry = EndpointEntry {
+        id: "new".to_string(),
+        service: "engines".to_string(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        availability_zone: "a".to_string(),
+        slots: 12,
+        is_draining: false,
+        started_unix_ms: Some(1),
+        cold_left_ms: 3_000,
+    };
+    let unlimited = EndpointEntry {
+        id: "other".to_string(),
+        service: "others".to_string(),
+        ..entry.clone()
+    };
+    let registry = Event::EndpointsRead(EndpointRead::Listed {
+        snapshot: EndpointSnapshot {
+            revision: 1,
+            entries: vec![entry, unlimited],
+            unreadable: 0,
+        },
+        was_connected: true,
+    });
+    let configuration = Event::ConfigurationRead {
+        read_began_ms: 0,
+        revision: 1,
+        content: Some(ConfigurationUpdate {
+            stored: Bytes::new(),
+            version: 1,
+            limits: Vec::new(),
+            cold_rates: HashMap::from([("engines".to_string(), 28.0)]),
+        }),
+    };
+    let mut events = [registry, configuration];
+    if !reads_registry_first {
+        events.reverse();
+    }
+    for event in events {
+        node.apply(1_000, event);
+    }
+    let known = node.endpoint_limits().current(1_500);
+    assert_eq!(known, [cold_limit(2_500)]);
+}
+
+/// A member that was cut off while the group grew would grant too large a share.
+#[test]
+fn member_with_an_older_group_grants_no_tokens_of_cold_endpoints() {
+    let mut node = voting_node();
+    let take = |node: &mut Node, group_version, limit| {
+        let body = MemberRequest::TakeSend(vec![limit]);
+        responses(&send(node, 5_000, group_version, body))
+    };
+    let outdated = take(&mut node, 2, cold_limit(3_000));
+    assert_eq!(outdated, [MemberResponse::Unavailable]);
+    let unlimited = EndpointLimit::unlimited("old");
+    let granted = take(&mut node, 2, unlimited.clone());
+    assert!(
+        matches!(&granted[..], [MemberResponse::Send(grant)] if grant.granted == Some(0))
+    );
+    let empty = take(&mut node, 1, cold_limit(3_000));
+    assert!(
+        matches!(&empty[..], [MemberResponse::Send(grant)] if grant.granted.is_none())
+    );
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,9 +7,9 @@
     ConnectionKey, Effect, Event, Node, NodeOptions, RecoveredLog, StorageLimits,
 };
 use jayreel_ledger::{
-    FRAME_HEADER_BYTES, FrameHeader, FrameLocation, LedgerRecord, LogEntry, Member,
-    MemberRequest, MemberResponse, ProgramKey, RateTolerance, Request, Reservation,
-    TurnRecord, encode_frame,
+    ColdTolerance, FRAME_HEADER_BYTES, FrameHeader, FrameLocation, LedgerRecord,
+    LogEntry, Member, MemberRequest, MemberResponse, ProgramKey, RateTolerance, Request,
+    Reservation, TurnRecord, encode_frame,
 };
 
 /// Length of the window that customers' rate limits apply to, in milliseconds.
@@ -48,6 +48,7 @@
     let options = NodeOptions {
         name: name.to_string(),
         is_first_start,
+        cold_tolerance: ColdTolerance::default(),
         tolerance: TOLERANCE,
         limits: limits(),
     };
--- a/crates/gateway/tests/support/stored.rs
+++ b/crates/gateway/tests/support/stored.rs
@@ -7,7 +7,7 @@
 use jayreel_gateway::storage::{
     Disk, Effect, Event, Node, NodeOptions, RecoveredLog, StorageLimits,
 };
-use jayreel_ledger::{MemberRequest, MemberResponse, Request};
+use jayreel_ledger::{ColdTolerance, MemberRequest, MemberResponse, Request};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::support::TOLERANCE;
@@ -81,6 +81,7 @@
         let options = NodeOptions {
             name: name.to_string(),
             is_first_start,
+            cold_tolerance: ColdTolerance::default(),
             tolerance: TOLERANCE,
             limits,
         };
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -28,7 +28,8 @@
     SuspectsVersion, suspicion_lifetime_ms,
 };
 pub use endpoint_limits::{
-    EndpointLimit, EndpointLimits, LimitReport, SendGrant, limit_lifetime_ms,
+    COLD_END_TOLERANCE_MS, COLD_PAUSE_MS, ColdReport, ColdTolerance, EndpointLimit,
+    EndpointLimits, LimitReport, MAX_COLD_MS, RAMP_MS, SendGrant, limit_lifetime_ms,
 };
 pub use fingerprint::{Fingerprint, RequestFingerprints, RequestIdentity};
 pub use group::{CatchUp, Group, Member, MembershipState, VoteHistory};
--- a/crates/ledger/tests/endpoint_limits.rs
+++ b/crates/ledger/tests/endpoint_limits.rs
@@ -15,6 +15,7 @@
             limit_per_s,
             age_ms,
         },
+        cold: None,
     }
 }
 
