--- a/crates/gateway/src/edge/limits.rs
+++ b/crates/gateway/src/edge/limits.rs
@@ -4,7 +4,7 @@
 //! grant. What such an endpoint cannot take goes to others; only if all of them have reached
 //! their limits is the request refused.
 
-use jayreel_ledger::EndpointLimit;
+use jayreel_ledger::{EndpointLimit, Member};
 
 use crate::balance::{EndpointKey, Pick};
 use crate::clock::now_ms;
@@ -22,6 +22,14 @@
 /// How long an endpoint is left out if no member responded, in milliseconds.
 const NO_MEMBER_PAUSE_MS: u64 = 100;
 
+/// Number of members that are asked for a token of a cold endpoint if another endpoint needs none.
+/// Callers wait for each round trip, and while an endpoint is cold most requests get no token.
+const MAX_COLD_SOURCES: usize = 2;
+
+/// Number of orders in which members are asked for tokens of cold endpoints, so that those asked
+/// first vary and all grant their shares.
+const COLD_ORDERS: u64 = 16;
+
 /// Age at which a token of a cold endpoint is not used any more, in milliseconds, counted from the
 /// request for it. An instance that was stopped meanwhile would use tokens of several seconds at
 /// once.
@@ -62,12 +70,7 @@
             candidates.into_iter().partition(|pick| pick.needs_token);
         let mut waits_ms: Vec<Option<u64>> = vec![None; limited.len()];
         let has_cold = limited.iter().any(|pick| pick.is_cold);
-        let members = match has_cold && !self.members.contact().has_member(now_ms()) {
-            // Without contact nobody answers, and the request would wait for each member in turn.
-            true => Vec::new(),
-            false => self.members.nearest_first(service),
-        };
-        for member in members {
+        for member in self.token_sources(service, has_cold, !unlimited.is_empty()) {
             let limits = self.limit_reports(&limited);
             let requested_ms = now_ms();
             let Some(grant) = self.members.take_send(&member, limits).await else {
@@ -106,6 +109,29 @@
         unlimited.into_iter().next()
     }
 
+    /// The members to ask for a token, in this order.
+    fn token_sources(
+        &self,
+        service: &str,
+        has_cold: bool,
+        has_unlimited: bool,
+    ) -> Vec<Member> {
+        if !has_cold {
+            return self.members.nearest_first(service);
+        }
+        let now_ms = now_ms();
+        // Without contact nobody answers, and the request would wait for each member in turn.
+        if !self.members.contact().has_member(now_ms) {
+            return Vec::new();
+        }
+        let key = format!("{service}/{}", now_ms % COLD_ORDERS);
+        let mut members = self.members.nearest_first(&key);
+        if has_unlimited {
+            members.truncate(MAX_COLD_SOURCES);
+        }
+        members
+    }
+
     fn limit_reports(&self, picks: &[Pick]) -> Vec<EndpointLimit> {
         let balancer = self.balancer.borrow();
         let report = |pick: &Pick| {
--- a/crates/gateway/tests/cold_endpoints.rs
+++ b/crates/gateway/tests/cold_endpoints.rs
@@ -239,7 +239,7 @@
                 asked,
                 limits,
             } => {
-                let member = (instance + asked) % 5;
+                let member = (instance + asked * (1 + now_ms as usize % 4)) % 5;
                 let grant = match self.shares(member) {
                     None => SendGrant {
                         granted: None,
@@ -265,7 +265,7 @@
                 let granted = grant.granted.map(|index| limited[index as usize].clone());
                 match granted {
                     Some(pick) => self.send(instance, pick),
-                    None if asked < 4 => {
+                    None if asked < 4 && (unlimited.is_none() || asked < 1) => {
                         self.ask(instance, limited, unlimited, asked + 1)
                     }
                     None => {
