Keep the pause of a cold endpoint when it also names a limit

Cause: the first report of an advertised limit emptied the share and thereby ended the pause of an endpoint that had become cold while in use. A late report of a cold time that was over could be logged as news.

Change: emptying a share never brings its next token forward; a cold time that has ended is no news.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -79,9 +79,9 @@
     /// Unix time of its start in milliseconds, if the entry has one. Differs after a restart
     /// under the same identifier.
     pub started_unix_ms: Option<u64>,
-    /// How much longer the endpoint is cold, that is slow after its start, in milliseconds: from
-    /// when the entry was written, in an entry that another instance sent from then. 0 if it is
-    /// not cold.
+    /// How much longer the endpoint is cold, that is slow after its start, in milliseconds. 0 if it
+    /// is not cold. Counted from when the endpoint wrote the entry, or when the instance sent it
+    /// that passed it on.
     pub cold_left_ms: u64,
 }
 
--- a/crates/ledger/src/endpoint_limits.rs
+++ b/crates/ledger/src/endpoint_limits.rs
@@ -65,7 +65,7 @@
 pub const COLD_PAUSE_MS: u64 = 1_000;
 
 /// Factor by which the requests that reach a cold endpoint in a second may exceed those that the
-/// rate allows: a member that has just joined the smallest group (three) grants a third more until
+/// rate yields: a member that has just joined the smallest group (three) grants a third more until
 /// the others know of it, and tokens of a little more than a second may be used in one.
 const COLD_MARGIN: f64 = 1.4;
 
@@ -283,7 +283,7 @@
     /// New ones begin to accumulate at `from_ms`, which may lie ahead.
     fn empty(&mut self, from_ms: u64) {
         self.tokens = 0.0;
-        self.updated_ms = from_ms;
+        self.updated_ms = self.updated_ms.max(from_ms);
     }
 
     /// Takes a token of a share of one in `shares`.
@@ -451,7 +451,7 @@
             false if is_start => endpoint.empty(now_ms),
             _ => {}
         }
-        is_news
+        is_news && now_ms < until_ms
     }
 
     /// Grants a token of the first endpoint in `candidates` that has one, from a share of one in
