--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     failures: IntCounterVec,
     limited_sends: IntCounterVec,
     placements: IntCounterVec,
+    cold_sends: IntCounterVec,
     crashes: IntCounter,
     broken: IntGauge,
     evacuated_zones: IntGauge,
@@ -97,6 +98,11 @@
             "Endpoints chosen for sends, by the reason of the choice",
             &["reason"],
         );
+        let cold_sends = counter(
+            "jayreel_cold_sends_total",
+            "Requests for tokens of cold endpoints, by outcome",
+            &["outcome"],
+        );
         let crashes = IntCounter::new(
             "jayreel_endpoint_crashes_total",
             "Crashes of endpoints at which requests of this instance were lost",
@@ -132,6 +138,7 @@
             Box::new(failures.clone()),
             Box::new(limited_sends.clone()),
             Box::new(placements.clone()),
+            Box::new(cold_sends.clone()),
             Box::new(crashes.clone()),
             Box::new(broken.clone()),
             Box::new(evacuated_zones.clone()),
@@ -152,6 +159,7 @@
             failures,
             limited_sends,
             placements,
+            cold_sends,
             crashes,
             broken,
             evacuated_zones,
@@ -218,6 +226,11 @@
         self.placements.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a request for a token of a cold endpoint.
+    pub(crate) fn cold_send(&self, outcome: &str) {
+        self.cold_sends.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a crash of an endpoint at which requests of this instance were lost.
     pub(crate) fn endpoint_crashed(&self) {
         self.crashes.inc();
--- a/crates/gateway/tests/endpoint_loads.rs
+++ b/crates/gateway/tests/endpoint_loads.rs
@@ -12,6 +12,7 @@
             availability_zone: zone.to_string(),
             slots: 6,
             is_draining: false,
+            cold_left_ms: 0,
             started_unix_ms: Some(1),
         });
     }
--- a/crates/gateway/tests/support/fleet_model.rs
+++ b/crates/gateway/tests/support/fleet_model.rs
@@ -24,6 +24,7 @@
         availability_zone: zone.to_string(),
         slots,
         is_draining: false,
+        cold_left_ms: 0,
         started_unix_ms: Some(1),
     }
 }
--- a/crates/gateway/tests/zone_evacuation.rs
+++ b/crates/gateway/tests/zone_evacuation.rs
@@ -28,6 +28,7 @@
         availability_zone: zone.to_string(),
         slots: 12,
         is_draining: false,
+        cold_left_ms: 0,
         started_unix_ms: Some(1),
     }
 }
