Send requests on one object to the same endpoint

Cause: an endpoint that has handled an object recently needs half of the work for it, but requests on an object went to any endpoint.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -13,7 +13,8 @@
 use jayreel_ledger::{EndpointLimit, EndpointRun};
 use jayreel_placement::{
     AffinityKey, Candidates, EndpointHash, HeldHistory, Overflow, SpeedEstimate,
-    WorkFactor, affinity_bonus, choose_similar, expected_time, load_per_slot,
+    WorkFactor, choose_similar, expected_time, load_per_slot, object_bonus,
+    program_bonus,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -143,6 +144,9 @@
     pub previous_turn: Option<EndpointKey>,
     /// The program of the request.
     pub program: Option<AffinityKey>,
+    /// The object that it is about, if endpoints that have handled it recently are faster. Comes
+    /// before the program.
+    pub object: Option<AffinityKey>,
     /// Identifiers of endpoints that are left out.
     pub tried: &'a [String],
     /// Random number from 0 up to, but not including, 1, for the choice among endpoints with
@@ -158,6 +162,7 @@
             last_endpoint: None,
             previous_turn: None,
             program: None,
+            object: None,
             tried,
             random: None,
         }
@@ -167,7 +172,7 @@
 /// Why an endpoint was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PickReason {
-    /// It ran the last turn of the program, or it is a candidate for it.
+    /// It ran the last turn of the program, or it is a candidate for the program or the object.
     Affinity,
     /// It is among those in the own availability zone that are expected to complete the request
     /// first.
@@ -380,7 +385,7 @@
         placement.filter(|placement| placement.is_timed)
     }
 
-    /// The endpoints that a request prefers. The candidates of its program are computed over all
+    /// The endpoints that a request prefers. The candidates for its key are computed over all
     /// endpoints of the own zone that accept requests, whatever this instance knows about them, so
     /// that they are the same at each instance of the zone. During an overflow there are as many in
     /// other zones.
@@ -392,17 +397,18 @@
     ) -> Affinity {
         let last = request.last_endpoint;
         let is_assigned = self.has_program_affinity || is_timed;
-        let program = request.program.filter(|_| is_assigned);
+        let key = request.object.or(request.program.filter(|_| is_assigned));
         let candidates = |is_remote: bool| {
             let endpoints = self.endpoints.iter().filter(move |(_, endpoint)| {
                 endpoint.accepts(request.service) && self.is_remote(endpoint) == is_remote
             });
             let hashes = endpoints.map(|(key, endpoint)| (key, endpoint.hash));
-            program.map(|program| Candidates::new(program, hashes))
+            key.map(|key| Candidates::new(key, hashes))
         };
         Affinity {
             last: last.and_then(|id| self.by_id.get(id).copied()),
             previous_turn: request.previous_turn,
+            is_object: request.object.is_some(),
             candidates: candidates(false),
             remote_candidates: match overflow.is_active() {
                 true => candidates(true),
@@ -726,7 +732,9 @@
     last: Option<EndpointKey>,
     /// The one that ran the turn which the request continues.
     previous_turn: Option<EndpointKey>,
-    /// The candidates for the program. `None` if programs are not assigned to endpoints.
+    /// The key is an object.
+    is_object: bool,
+    /// The candidates for the key. `None` if the request is not assigned to endpoints.
     candidates: Option<Candidates<EndpointKey>>,
     /// The candidates in other zones. `None` if no requests go there.
     remote_candidates: Option<Candidates<EndpointKey>>,
@@ -744,13 +752,16 @@
             true => self.remote_candidates.as_ref(),
             false => Some(candidates),
         };
+        let position = candidates.and_then(|candidates| candidates.position(key));
+        if self.is_object {
+            return object_bonus(position);
+        }
         let history = match self.previous_turn == Some(key) {
             true if candidates.is_some() => HeldHistory::Whole,
             false if !is_last => HeldHistory::Unknown,
             _ => HeldHistory::Part,
         };
-        let position = candidates.and_then(|candidates| candidates.position(key));
-        affinity_bonus(history, position)
+        program_bonus(history, position)
     }
 }
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -116,6 +116,8 @@
     pub retention_ms: u64,
     /// Requests need no API key.
     pub is_open: bool,
+    /// Requests on the same object are faster at an endpoint that has handled the object recently.
+    pub is_sticky: bool,
 }
 
 /// A group of interchangeable endpoints.
--- a/crates/gateway/src/edge/placement.rs
+++ b/crates/gateway/src/edge/placement.rs
@@ -26,6 +26,8 @@
         let program = admitted.program();
         let last_endpoint =
             program.and_then(|program| self.affinity.borrow().get(program).cloned());
+        let object = admitted.call.object.as_deref();
+        let object = object.filter(|_| admitted.route.is_sticky);
         let previous_turn = admitted.call.previous_turn.as_deref();
         let previous_turn = previous_turn.and_then(|turn| {
             let turns = self.turn_endpoints.borrow();
@@ -35,6 +37,7 @@
             previous_turn,
             last_endpoint: last_endpoint.as_deref(),
             program: program.map(AffinityKey::program),
+            object: object.map(|object| AffinityKey::object(&admitted.service, object)),
             random: Some(rand::rng().random()),
             ..PickRequest::new(&admitted.service, tried)
         };
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -27,6 +27,9 @@
     pub program: Option<ProgramCall>,
     /// Identifier of the turn that this one continues, if any.
     pub previous_turn: Option<String>,
+    /// The object that the request is about, if it names one. The same for all requests on the
+    /// same object.
+    pub object: Option<String>,
 }
 
 impl CallHead {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -371,3 +371,34 @@
         assert_eq!(balancer.choose(0, &request).as_ref(), Some(&expected));
     }
 }
+
+/// An endpoint that has handled an object recently does half of the work for it. Without affinity
+/// hardly any request meets such an endpoint, and the demand exceeds the capacity. The services of
+/// the second case report no work factors.
+#[test_case(true)]
+#[test_case(false)]
+fn requests_on_an_object_meet_an_endpoint_that_holds_it(reports_work_factor: bool) {
+    let settings = ModelSettings {
+        speeds: vec![1.0; 20],
+        request_ms: 100.0,
+        arrivals_per_s: 1_300.0,
+        programs: 400,
+        are_objects: true,
+        reports_work_factor,
+        ..ModelSettings::default()
+    };
+    let before = FleetModel::new(&settings).run(20_000);
+    let settings = ModelSettings {
+        names_objects: true,
+        ..settings
+    };
+    let after = FleetModel::new(&settings).run(20_000);
+    println!("object before {before:?}\nobject after {after:?}");
+    assert!(before.cached_share < 0.1, "{before:?}");
+    assert!(after.cached_share > 0.8, "{after:?}");
+    assert!(after.p95_ms < before.p95_ms * 0.5, "{before:?} {after:?}");
+    assert!(
+        after.rejected_share < before.rejected_share,
+        "{before:?} {after:?}"
+    );
+}
--- a/crates/gateway/tests/support/fleet_model.rs
+++ b/crates/gateway/tests/support/fleet_model.rs
@@ -69,6 +69,10 @@
     /// Share of the turns that arrive at the instance of the program's turn before.
     pub same_instance: f64,
     pub has_program_affinity: bool,
+    /// The programs are objects: a request on one that the endpoint holds is half of the work.
+    pub are_objects: bool,
+    /// Requests on objects name them.
+    pub names_objects: bool,
     /// Endpoints report their work factors, so they are ranked by expected time.
     pub reports_work_factor: bool,
     /// From this time on no endpoint reports anything.
@@ -93,6 +97,8 @@
             programs: 0,
             same_instance: 0.0,
             has_program_affinity: false,
+            are_objects: false,
+            names_objects: false,
             reports_work_factor: false,
             reports_stop_ms: u64::MAX,
             vanishes_ms: u64::MAX,
@@ -314,7 +320,8 @@
             };
         }
         let index = self.random.random_range(0..self.programs.len());
-        if self.random.random::<f64>() < 1.0 / TURNS_PER_PROGRAM {
+        let ends = self.random.random::<f64>() < 1.0 / TURNS_PER_PROGRAM;
+        if ends && !self.settings.are_objects {
             let newest = self.programs.iter().map(|program| program.id).max();
             self.programs[index] = ModelProgram {
                 id: newest.unwrap_or_default() + 1,
@@ -353,6 +360,12 @@
         let has_program = self.settings.programs > 0;
         let last = self.last_endpoints[instance].get(&program).cloned();
         let last = last.as_ref().filter(|_| has_program);
+        let id = program.to_string();
+        let is_program = has_program && !self.settings.are_objects;
+        let last = last.filter(|_| is_program);
+        let program_key = is_program.then(|| AffinityKey::program(&id));
+        let names_objects = self.settings.names_objects;
+        let object_key = names_objects.then(|| AffinityKey::object("engines", &id));
         let mut tried = Vec::new();
         let balancer = &mut self.balancers[instance];
         let pick = loop {
@@ -361,7 +374,8 @@
                 previous_turn: last
                     .filter(|(last, _, _)| last + 1 == turn)
                     .map(|(_, _, key)| *key),
-                program: has_program.then(|| AffinityKey::program(&program.to_string())),
+                program: program_key,
+                object: object_key,
                 random: Some(self.random.random()),
                 ..PickRequest::new("engines", &tried)
             };
@@ -413,11 +427,14 @@
             let held = histories.position(|held| *held == request.program);
             self.started += 1;
             let mut delay_ms = 0.0;
+            let mut work = 1.0;
             match held {
                 Some(index) => {
                     self.cached += 1;
                     endpoint.histories.remove(index);
+                    work = if settings.are_objects { 0.5 } else { 1.0 };
                 }
+                None if settings.are_objects => {}
                 None if settings.programs > 0 => {
                     delay_ms = READ_MS * endpoint.speed;
                     for (left_ms, _) in &mut endpoint.running {
@@ -430,7 +447,7 @@
             if endpoint.histories.len() > HELD_HISTORIES {
                 endpoint.histories.pop_front();
             }
-            let work_ms = settings.request_ms * endpoint.speed + delay_ms;
+            let work_ms = settings.request_ms * endpoint.speed * work + delay_ms;
             endpoint.running.push((work_ms, request));
         }
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -21,7 +21,9 @@
 mod speed;
 
 pub use crate::choice::choose_similar;
-pub use crate::expected::{HeldHistory, affinity_bonus, expected_time, load_per_slot};
+pub use crate::expected::{
+    HeldHistory, expected_time, load_per_slot, object_bonus, program_bonus,
+};
 pub use crate::memory::TokenLoad;
 pub use crate::overflow::Overflow;
 pub use crate::rendezvous::{AffinityKey, CANDIDATES, Candidates, EndpointHash};
--- a/crates/placement/tests/estimates.rs
+++ b/crates/placement/tests/estimates.rs
@@ -1,8 +1,8 @@
 //! Estimates of speed, work factor, expected time and memory.
 
 use jayreel_placement::{
-    HeldHistory, SpeedEstimate, TokenLoad, WorkFactor, affinity_bonus, choose_similar,
-    expected_time, load_per_slot,
+    HeldHistory, SpeedEstimate, TokenLoad, WorkFactor, choose_similar, expected_time,
+    load_per_slot, object_bonus, program_bonus,
 };
 use test_case::test_case;
 
@@ -72,14 +72,16 @@
 #[test]
 fn affinity_is_ordered_and_bounded() {
     let bonuses = [
-        affinity_bonus(HeldHistory::Whole, None),
-        affinity_bonus(HeldHistory::Unknown, Some(0)),
-        affinity_bonus(HeldHistory::Part, Some(1)),
-        affinity_bonus(HeldHistory::Part, None),
-        affinity_bonus(HeldHistory::Unknown, None),
+        program_bonus(HeldHistory::Whole, None),
+        program_bonus(HeldHistory::Unknown, Some(0)),
+        program_bonus(HeldHistory::Part, Some(1)),
+        program_bonus(HeldHistory::Part, None),
+        program_bonus(HeldHistory::Unknown, None),
     ];
     assert!(bonuses.is_sorted_by(|a, b| a > b), "{bonuses:?}");
     assert!(bonuses[0] <= 1.0, "at most the time of one request");
+    let objects = [Some(0), Some(1), None].map(object_bonus);
+    assert!(objects.is_sorted_by(|a, b| a > b), "{objects:?}");
 }
 
 /// Instances with the same reports must not all choose the same endpoint.
