Bound the tokens of the requests at one engine by its memory

Cause: an engine that gets more tokens than its memory holds evicts the histories of other programs and preempts requests. The tokens that this instance has at an engine, scaled to the reported number of requests, and those of the request must fit; otherwise another engine is chosen, or this one if none has room. In force where programs have affinity. A choice in another zone is counted as overflow whatever else speaks for it.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -13,7 +13,7 @@
 use jayreel_ledger::{EndpointLimit, EndpointRun};
 use jayreel_placement::{
     AffinityKey, Candidates, EndpointHash, HeldHistory, Overflow, SpeedEstimate,
-    WorkFactor, choose_similar, expected_time, load_per_slot, object_bonus,
+    TokenLoad, WorkFactor, choose_similar, expected_time, load_per_slot, object_bonus,
     program_bonus,
 };
 use slotmap::{SlotMap, new_key_type};
@@ -56,6 +56,13 @@
 /// that others are less loaded.
 const UNKNOWN_LOAD_SHARE: f64 = 0.5;
 
+/// Weight of the newest request in the average number of tokens of a service's requests.
+const REQUEST_TOKENS_WEIGHT: f64 = 0.02;
+
+/// Score penalty for an engine whose memory does not hold a request. Larger than any load, so that
+/// all others come first, and lower than the penalty for a paused endpoint.
+const MEMORY_PENALTY: f64 = 100.0;
+
 /// Weight of the newest request in the average time of a service's requests.
 const REQUEST_TIME_WEIGHT: f64 = 0.02;
 
@@ -107,6 +114,8 @@
     speed: SpeedEstimate,
     /// As last reported. `None` if it has reported none.
     work_factor: Option<WorkFactor>,
+    /// Tokens of the requests of this instance.
+    tokens: TokenLoad,
     /// Requests of this instance that are in flight.
     own_requests: u32,
     /// Requests of other instances as of `reported_ms`.
@@ -147,6 +156,8 @@
     /// The object that it is about, if endpoints that have handled it recently are faster. Comes
     /// before the program.
     pub object: Option<AffinityKey>,
+    /// What it takes in the memory of an engine. `None` without a bound.
+    pub memory: Option<MemoryBound>,
     /// Identifiers of endpoints that are left out.
     pub tried: &'a [String],
     /// Random number from 0 up to, but not including, 1, for the choice among endpoints with
@@ -163,12 +174,22 @@
             previous_turn: None,
             program: None,
             object: None,
+            memory: None,
             tried,
             random: None,
         }
     }
 }
 
+/// The tokens of a request, and those that the memory of one engine holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemoryBound {
+    /// Of the prompt and to be generated.
+    pub tokens: u32,
+    /// Of all requests at one engine.
+    pub capacity_tokens: u32,
+}
+
 /// Why an endpoint was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PickReason {
@@ -179,7 +200,7 @@
     ExpectedTime,
     /// It has the lowest score in the own availability zone.
     Score,
-    /// It has the lowest score or expected time, although it is in another availability zone.
+    /// It is in another availability zone, whatever else speaks for it.
     Overflow,
 }
 
@@ -224,6 +245,8 @@
     /// Average time of a request at an endpoint, waiting and the work factor excluded, in
     /// milliseconds. 0 before the first.
     request_ms: f64,
+    /// Average number of tokens of a request.
+    request_tokens: f64,
     /// Average of the reported requests of other instances per slot.
     usual_load: f64,
     /// Whether requests currently go to other zones.
@@ -271,6 +294,7 @@
             hash: EndpointHash::new(&id),
             speed: SpeedEstimate::default(),
             work_factor: None,
+            tokens: TokenLoad::default(),
             own_requests: 0,
             other_requests: 0.0,
             reported_ms: 0,
@@ -419,19 +443,28 @@
 
     /// The endpoints that may be chosen, with their scores.
     fn scored<'a>(&'a self, now_ms: u64, request: &PickRequest<'_>) -> Vec<Scored<'a>> {
-        let timed = self.timed(request.service);
+        let placement = self.placements.get(request.service);
+        let timed = placement.filter(|placement| placement.is_timed);
         let is_timed = timed.is_some();
+        let is_bounded = self.has_program_affinity || is_timed;
+        let memory = request.memory.filter(|_| is_bounded);
+        let request_tokens = placement.map_or(0.0, |placement| placement.request_tokens);
         let usable = self.endpoints.iter().filter(|(_, endpoint)| {
             endpoint.accepts(request.service)
                 && !request.tried.contains(&endpoint.entry.id)
                 && endpoint.limit.wait_ms(now_ms) == 0
         });
-        let scored = usable.map(|(key, endpoint)| Scored {
-            key,
-            endpoint,
-            score: endpoint.score(now_ms, timed),
-            is_remote: self.is_remote(endpoint),
-            is_preferred: false,
+        let scored = usable.map(|(key, endpoint)| {
+            let has_room = memory
+                .is_none_or(|memory| endpoint.has_room(now_ms, memory, request_tokens));
+            let memory_penalty = if has_room { 0.0 } else { MEMORY_PENALTY };
+            Scored {
+                key,
+                endpoint,
+                score: endpoint.score(now_ms, timed) + memory_penalty,
+                is_remote: self.is_remote(endpoint),
+                is_preferred: false,
+            }
         });
         let mut scored: Vec<Scored<'a>> = scored.collect();
         let overflow = self.overflow(request, &scored);
@@ -476,11 +509,11 @@
             address: endpoint.entry.address,
             is_remote: scored.is_remote,
             needs_token: endpoint.limit.needs_token(now_ms),
-            reason: match (scored.is_preferred, scored.is_remote) {
-                (true, _) => PickReason::Affinity,
-                (false, true) => PickReason::Overflow,
-                (false, false) if is_timed => PickReason::ExpectedTime,
-                (false, false) => PickReason::Score,
+            reason: match scored.is_remote {
+                true => PickReason::Overflow,
+                false if scored.is_preferred => PickReason::Affinity,
+                false if is_timed => PickReason::ExpectedTime,
+                false => PickReason::Score,
             },
         }
     }
@@ -517,6 +550,27 @@
         }
     }
 
+    /// Counts the tokens of a request that was sent to an endpoint. 0 if they are unknown.
+    pub fn hold_tokens(&mut self, key: EndpointKey, tokens: u32) {
+        let endpoint = self.endpoints.get_mut(key).filter(|_| tokens > 0);
+        if let Some(endpoint) = endpoint {
+            endpoint.tokens.begin(tokens);
+            if let Some(placement) = self.placements.get_mut(&endpoint.entry.service) {
+                let tokens = f64::from(tokens);
+                placement.request_tokens +=
+                    (tokens - placement.request_tokens) * REQUEST_TOKENS_WEIGHT;
+            }
+        }
+    }
+
+    /// Releases the tokens of a request. Called once for each `hold_tokens`, with the same number.
+    pub fn release_tokens(&mut self, key: EndpointKey, tokens: u32) {
+        let endpoint = self.endpoints.get_mut(key).filter(|_| tokens > 0);
+        if let Some(endpoint) = endpoint {
+            endpoint.tokens.end(tokens);
+        }
+    }
+
     /// Records that a response of the endpoint said that it is about to stop. Its entry in the
     /// registry may say so later or not at all. Returns whether that is news.
     pub fn mark_leaving(&mut self, key: EndpointKey) -> bool {
@@ -800,6 +854,18 @@
         time + error_penalty + pause_penalty + suspension_penalty
     }
 
+    /// Whether its memory is expected to hold a request. Those of other instances are assumed to
+    /// be like those of this one there, or else to have `request_tokens`.
+    fn has_room(&self, now_ms: u64, memory: MemoryBound, request_tokens: f64) -> bool {
+        let requests = self.load(now_ms) * f64::from(self.entry.slots);
+        self.tokens.has_room(
+            requests,
+            request_tokens,
+            memory.tokens,
+            memory.capacity_tokens,
+        )
+    }
+
     /// How long work currently takes, where 1 is the usual time.
     fn work_factor_at(&self, now_ms: u64) -> f64 {
         self.work_factor.map_or(1.0, |factor| factor.at(now_ms))
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -134,6 +134,9 @@
 pub struct Engine {
     /// Number of tokens that one event of a response stream counts for.
     pub event_tokens: u32,
+    /// Number of tokens, of prompts and generated, that the memory of one engine holds. `None` if it
+    /// is not known.
+    pub memory_tokens: Option<u32>,
 }
 
 impl Configuration {
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -93,6 +93,8 @@
     pub token: Option<BufferedToken>,
     /// Model tokens that each event of the response stands for; charged to the budget.
     pub event_tokens: u32,
+    /// Tokens that the memory of one engine holds. `None` if that is not known.
+    pub engine_memory_tokens: Option<u32>,
     /// The endpoint to which it was last sent. `None` before the first send.
     pub endpoint: Rc<RefCell<Option<String>>>,
     /// Limits the time further once the instance shuts down.
@@ -270,6 +272,7 @@
             customer: customer.map(|(name, _)| name),
             priority: engine.map(|_| engine_priority(rank, program_time_left_ms(&call))),
             max_idle: max_connections / IDLE_CONNECTION_DIVISOR + MIN_IDLE_CONNECTIONS,
+            memory_tokens: engine.map_or(0, |_| call.memory_tokens()),
         },
         _body_claim: body_claim,
         route,
@@ -278,6 +281,7 @@
         timeout_ms,
         token,
         event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+        engine_memory_tokens: engine.and_then(|engine| engine.memory_tokens),
         endpoint: Rc::default(),
         shutdown: Rc::clone(&edge.shutdown),
     })
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -52,6 +52,8 @@
     pub priority: Option<u8>,
     /// Number of idle connections to keep to the endpoint.
     pub max_idle: usize,
+    /// Tokens that it takes in the memory of an engine at most. 0 if unknown.
+    pub memory_tokens: u32,
 }
 
 /// Timeouts for one send, in milliseconds.
@@ -77,6 +79,8 @@
     idle_ms: u64,
     /// Number of idle connections to keep to the endpoint.
     max_idle: usize,
+    /// Tokens that the request takes in the memory of an engine.
+    memory_tokens: u32,
     /// When the request was sent whose successful response is being read.
     answered_sent_ms: Option<u64>,
 }
@@ -108,7 +112,9 @@
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        self.edge.balancer.borrow_mut().end(self.key);
+        let mut balancer = self.edge.balancer.borrow_mut();
+        balancer.end(self.key);
+        balancer.release_tokens(self.key, self.memory_tokens);
     }
 }
 
@@ -133,13 +139,18 @@
     last_event_id: Option<u64>,
     timeouts: SendTimeouts,
 ) -> Result<EndpointResponse, Outcome> {
-    edge.balancer.borrow_mut().begin(pick.key);
+    {
+        let mut balancer = edge.balancer.borrow_mut();
+        balancer.begin(pick.key);
+        balancer.hold_tokens(pick.key, outgoing.memory_tokens);
+    }
     let mut connection = PooledConnection {
         edge: Rc::clone(edge),
         key: pick.key,
         http_connection: None,
         idle_ms: 0,
         max_idle: outgoing.max_idle,
+        memory_tokens: outgoing.memory_tokens,
         answered_sent_ms: None,
     };
     let sent_ms = now_ms();
--- a/crates/gateway/src/edge/placement.rs
+++ b/crates/gateway/src/edge/placement.rs
@@ -4,7 +4,7 @@
 use jayreel_placement::AffinityKey;
 use rand::RngExt;
 
-use crate::balance::{Pick, PickRequest};
+use crate::balance::{MemoryBound, Pick, PickRequest};
 use crate::edge::Edge;
 use crate::edge::call::AdmittedCall;
 
@@ -38,6 +38,12 @@
             last_endpoint: last_endpoint.as_deref(),
             program: program.map(AffinityKey::program),
             object: object.map(|object| AffinityKey::object(&admitted.service, object)),
+            memory: admitted
+                .engine_memory_tokens
+                .map(|capacity_tokens| MemoryBound {
+                    tokens: admitted.outgoing.memory_tokens,
+                    capacity_tokens,
+                }),
             random: Some(rand::rng().random()),
             ..PickRequest::new(&admitted.service, tried)
         };
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -21,6 +21,8 @@
     pub key: Option<String>,
     /// Last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Number of tokens of the prompt, if the request names it.
+    pub prompt_tokens: Option<u32>,
     /// Upper bound of the tokens that the request generates, if it sets one.
     pub max_tokens: Option<u32>,
     /// The program of the request, if it belongs to one.
@@ -37,6 +39,15 @@
     pub fn reserved_tokens(&self) -> u32 {
         self.max_tokens.unwrap_or(DEFAULT_RESERVED_TOKENS)
     }
+
+    /// Number of tokens that the request takes in the memory of an engine at most, as far as it
+    /// names them.
+    pub fn memory_tokens(&self) -> u32 {
+        let generated_tokens = self.max_tokens.unwrap_or(0);
+        self.prompt_tokens
+            .unwrap_or(0)
+            .saturating_add(generated_tokens)
+    }
 }
 
 /// What a request says about the program to which it belongs.
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -4,7 +4,7 @@
 mod fleet_model;
 
 use jayreel_gateway::{
-    Balancer, EndpointEntry, EndpointKey, Load, PickReason, PickRequest,
+    Balancer, EndpointEntry, EndpointKey, Load, MemoryBound, PickReason, PickRequest,
 };
 use jayreel_placement::AffinityKey;
 use test_case::test_case;
@@ -402,3 +402,55 @@
         "{before:?} {after:?}"
     );
 }
+
+/// Large prompts at one engine evict the histories of other programs, and the engine preempts
+/// requests. Affinity must not assign more to it than its memory holds.
+#[test]
+fn engine_without_memory_is_not_chosen() {
+    let mut balancer = zone_of(&names(3), "a");
+    let request = PickRequest {
+        program: Some(AffinityKey::program("p")),
+        memory: Some(MemoryBound {
+            tokens: 20_000,
+            capacity_tokens: 51_182,
+        }),
+        ..PickRequest::new("engines", &[])
+    };
+    let first = balancer.choose(0, &request).expect("an endpoint");
+    balancer.report_work_factor(0, first.key, None);
+    for _ in 0..2 {
+        let pick = balancer.choose(0, &request).expect("an endpoint");
+        assert_eq!(pick.id, first.id);
+        balancer.begin(pick.key);
+        balancer.hold_tokens(pick.key, 20_000);
+    }
+    let other = balancer.choose(0, &request).expect("an endpoint");
+    assert_ne!(other.id, first.id, "60,000 tokens don't fit");
+    let unbounded = PickRequest {
+        memory: None,
+        ..request
+    };
+    let pick = balancer.choose(0, &unbounded).expect("an endpoint");
+    assert_eq!(pick.id, first.id);
+    balancer.end(first.key);
+    balancer.release_tokens(first.key, 20_000);
+    let pick = balancer.choose(0, &request).expect("an endpoint");
+    assert_eq!(pick.id, first.id);
+}
+
+/// If no engine has room, the request is still sent: engines queue it, and those that finish make
+/// room.
+#[test]
+fn request_is_sent_although_no_engine_has_room() {
+    let mut balancer = zone_of(&names(2), "a");
+    let request = PickRequest {
+        memory: Some(MemoryBound {
+            tokens: 60_000,
+            capacity_tokens: 51_182,
+        }),
+        ..PickRequest::new("engines", &[])
+    };
+    let key = key_of(&balancer, "engine-0");
+    balancer.report_work_factor(0, key, None);
+    assert!(balancer.choose(0, &request).is_some());
+}
