--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -485,16 +485,15 @@
     /// Decides whether requests of a service go to other zones, from the scores without the cost of
     /// crossing and without affinity. A retry, which leaves out endpoints, changes no state.
     fn overflow(&self, request: &PickRequest<'_>, scored: &[Scored<'_>]) -> Overflow {
-        let Some(placement) = self.placements.get(request.service) else {
-            return Overflow::default();
-        };
+        let placement = self.placements.get(request.service);
         let best = |is_remote: bool| {
             let zone = scored.iter().filter(|one| one.is_remote == is_remote);
             zone.map(|one| one.score).min_by(f64::total_cmp)
         };
-        let mut overflow = placement.overflow.get();
+        let mut overflow =
+            placement.map_or_else(Overflow::default, |one| one.overflow.get());
         overflow.update(best(false), best(true), REMOTE_ZONE_PENALTY);
-        if request.tried.is_empty() {
+        if let Some(placement) = placement.filter(|_| request.tried.is_empty()) {
             placement.overflow.set(overflow);
         }
         overflow
