--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,13 +6,16 @@
 //! as of the last report. The second part decays exponentially with the age of the report,
 //! since nothing is known about how those requests went on.
 
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use jayreel_admission::EndpointLoad;
 use jayreel_ledger::{EndpointLimit, EndpointRun};
 use jayreel_placement::{
-    AffinityKey, Candidates, EndpointHash, HeldHistory, affinity_bonus,
+    AffinityKey, Candidates, EndpointHash, HeldHistory, Overflow, SpeedEstimate,
+    TokenLoad, WorkFactor, choose_similar, expected_time, load_per_slot, object_bonus,
+    program_bonus,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -38,6 +41,33 @@
 /// turns in its cache, where programs are not assigned to endpoints.
 const AFFINITY_BONUS: f64 = 0.10;
 
+/// Difference between expected times below which the choice is random, in times of a typical
+/// request. In the model of `tests/placement.rs` 0.3 instead of 0.1 raises the 95th percentile,
+/// since slow endpoints are chosen more often.
+const SIMILAR_TIME: f64 = 0.1;
+
+/// Weight of the newest report in an endpoint's usual load. An instance hears from an endpoint
+/// about once in two seconds.
+const USUAL_LOAD_WEIGHT: f64 = 0.2;
+
+/// Weight of the newest report in the usual load of a service's endpoints.
+const SERVICE_LOAD_WEIGHT: f64 = 0.02;
+
+/// Share of that load that is assumed for an endpoint that has reported none. With 0, each instance
+/// sends requests to each endpoint of other zones only to learn its load; with 1, it never learns
+/// that others are less loaded.
+const UNKNOWN_LOAD_SHARE: f64 = 0.5;
+
+/// Weight of the newest request in the average number of tokens of a service's requests.
+const REQUEST_TOKENS_WEIGHT: f64 = 0.02;
+
+/// Score penalty for an engine whose memory does not hold a request. Larger than any load, so that
+/// all others come first, and lower than the penalty for a paused endpoint.
+const MEMORY_PENALTY: f64 = 100.0;
+
+/// Weight of the newest request in the average time of a service's requests.
+const REQUEST_TIME_WEIGHT: f64 = 0.02;
+
 /// Pause after the first failure of an endpoint, in milliseconds. It doubles with each
 /// consecutive failure.
 const INITIAL_PAUSE_MS: u64 = 250;
@@ -82,11 +112,19 @@
     entry: EndpointEntry,
     /// Hash of its identifier.
     hash: EndpointHash,
+    /// Time per request, relative to that of the service.
+    speed: SpeedEstimate,
+    /// As last reported. `None` if it has reported none.
+    work_factor: Option<WorkFactor>,
+    /// Tokens of the requests of this instance.
+    tokens: TokenLoad,
     /// Requests of this instance that are in flight.
     own_requests: u32,
     /// Requests of other instances as of `reported_ms`.
     other_requests: f64,
     reported_ms: u64,
+    /// Average of the reported requests of other instances. `None` before the first report.
+    usual_requests: Option<f64>,
     consecutive_failures: u32,
     /// Until this time the endpoint is chosen only without an alternative.
     paused_until_ms: u64,
@@ -117,8 +155,16 @@
     pub previous_turn: Option<EndpointKey>,
     /// The program of the request.
     pub program: Option<AffinityKey>,
+    /// The object that it is about, if endpoints that have handled it recently are faster. Comes
+    /// before the program.
+    pub object: Option<AffinityKey>,
+    /// What it takes in the memory of an engine. `None` without a bound.
+    pub memory: Option<MemoryBound>,
     /// Identifiers of endpoints that are left out.
     pub tried: &'a [String],
+    /// Random number from 0 up to, but not including, 1, for the choice among endpoints with
+    /// similar expected times. `None` for the best one.
+    pub random: Option<f64>,
 }
 
 impl<'a> PickRequest<'a> {
@@ -129,19 +175,34 @@
             last_endpoint: None,
             previous_turn: None,
             program: None,
+            object: None,
+            memory: None,
             tried,
+            random: None,
         }
     }
 }
 
+/// The tokens of a request, and those that the memory of one engine holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemoryBound {
+    /// Of the prompt and to be generated.
+    pub tokens: u32,
+    /// Of all requests at one engine.
+    pub capacity_tokens: u32,
+}
+
 /// Why an endpoint was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PickReason {
-    /// It ran the last turn of the program, or it is a candidate for it.
+    /// It ran the last turn of the program, or it is a candidate for the program or the object.
     Affinity,
+    /// It is among those in the own availability zone that are expected to complete the request
+    /// first.
+    ExpectedTime,
     /// It has the lowest score in the own availability zone.
     Score,
-    /// It has the lowest score, although it is in another availability zone.
+    /// It is in another availability zone, whatever else speaks for it.
     Overflow,
 }
 
@@ -180,6 +241,25 @@
     /// Rates of cold endpoints by service, in requests per second. Services without one are left
     /// out.
     cold_rates: HashMap<String, f64>,
+    /// State of the placement by service. Services whose endpoints have reported no load are
+    /// missing.
+    placements: HashMap<String, ServicePlacement>,
+}
+
+/// State of the placement of one service.
+#[derive(Debug, Default)]
+struct ServicePlacement {
+    /// Its endpoints report work factors, so they are ranked by expected time.
+    is_timed: bool,
+    /// Average time of a request at an endpoint, waiting and the work factor excluded, in
+    /// milliseconds. 0 before the first.
+    request_ms: f64,
+    /// Average number of tokens of a request.
+    request_tokens: f64,
+    /// Average of the reported requests of other instances per slot.
+    usual_load: f64,
+    /// Whether requests currently go to other zones.
+    overflow: Cell<Overflow>,
 }
 
 impl Balancer {
@@ -193,6 +273,7 @@
             zones: ZoneStates::default(),
             has_program_affinity: false,
             cold_rates: HashMap::new(),
+            placements: HashMap::new(),
         }
     }
 
@@ -223,9 +304,13 @@
         let key = self.endpoints.insert(Endpoint {
             entry,
             hash: EndpointHash::new(&id),
+            speed: SpeedEstimate::default(),
+            work_factor: None,
+            tokens: TokenLoad::default(),
             own_requests: 0,
             other_requests: 0.0,
             reported_ms: 0,
+            usual_requests: None,
             consecutive_failures: 0,
             paused_until_ms: 0,
             is_suspended: false,
@@ -316,19 +401,28 @@
         self.choices(now_ms, &request)
     }
 
-    /// Chooses the endpoint with the lowest score for a request.
+    /// Chooses the endpoint for a request: the one with the lowest score, or at random one of those
+    /// with similar expected times.
     pub fn choose(&self, now_ms: u64, request: &PickRequest<'_>) -> Option<Pick> {
-        let affinity = self.affinity(request);
-        let scored = self.scored(now_ms, request, &affinity);
-        let best = scored.min_by(|a, b| a.score.total_cmp(&b.score));
-        best.map(|best| self.picked(now_ms, &best))
+        let scored = self.scored(now_ms, request);
+        let random = request
+            .random
+            .filter(|_| self.timed(request.service).is_some());
+        let best = match random {
+            None => scored.iter().min_by(|a, b| a.score.total_cmp(&b.score)),
+            Some(random) => {
+                let scores = scored.iter().map(|scored| scored.score);
+                let chosen = choose_similar(scores, SIMILAR_TIME, random);
+                chosen.and_then(|index| scored.get(index))
+            }
+        };
+        best.map(|best| self.picked(now_ms, best))
     }
 
     /// Like `choose`, but all endpoints that may be chosen, the best first. Ends with the first one
     /// that needs no token.
     pub fn choices(&self, now_ms: u64, request: &PickRequest<'_>) -> Vec<Pick> {
-        let affinity = self.affinity(request);
-        let mut scored: Vec<_> = self.scored(now_ms, request, &affinity).collect();
+        let mut scored = self.scored(now_ms, request);
         scored.sort_by(|a, b| a.score.total_cmp(&b.score));
         let needing = scored
             .iter()
@@ -338,66 +432,120 @@
         scored.map(|scored| self.picked(now_ms, scored)).collect()
     }
 
-    /// The endpoints that a request prefers. The candidates of its program are computed over all
+    /// The state of a service whose endpoints are ranked by expected time.
+    fn timed(&self, service: &str) -> Option<&ServicePlacement> {
+        let placement = self.placements.get(service);
+        placement.filter(|placement| placement.is_timed)
+    }
+
+    /// The endpoints that a request prefers. The candidates for its key are computed over all
     /// endpoints of the own zone that accept requests, whatever this instance knows about them, so
-    /// that they are the same at each instance of the zone.
-    fn affinity(&self, request: &PickRequest<'_>) -> Affinity {
+    /// that they are the same at each instance of the zone. During an overflow there are as many in
+    /// other zones.
+    fn affinity(
+        &self,
+        request: &PickRequest<'_>,
+        is_timed: bool,
+        overflow: Overflow,
+    ) -> Affinity {
         let last = request.last_endpoint;
-        let program = request.program.filter(|_| self.has_program_affinity);
-        let candidates = program.map(|program| {
-            let endpoints = self.endpoints.iter().filter(|(_, endpoint)| {
+        let is_assigned = self.has_program_affinity || is_timed;
+        let key = request.object.or(request.program.filter(|_| is_assigned));
+        let candidates = |is_remote: bool| {
+            let endpoints = self.endpoints.iter().filter(move |(_, endpoint)| {
                 endpoint.accepts(request.service, &self.zones)
-                    && !self.is_remote(endpoint)
+                    && self.is_remote(endpoint) == is_remote
             });
             let hashes = endpoints.map(|(key, endpoint)| (key, endpoint.hash));
-            Candidates::new(program, hashes)
-        });
+            key.map(|key| Candidates::new(key, hashes))
+        };
         Affinity {
             last: last.and_then(|id| self.by_id.get(id).copied()),
             previous_turn: request.previous_turn,
-            candidates,
+            is_object: request.object.is_some(),
+            candidates: candidates(false),
+            remote_candidates: match overflow.is_active() {
+                true => candidates(true),
+                false => None,
+            },
         }
     }
 
     /// The endpoints that may be chosen, with their scores.
-    fn scored<'a>(
-        &'a self,
-        now_ms: u64,
-        request: &'a PickRequest<'a>,
-        affinity: &'a Affinity,
-    ) -> impl Iterator<Item = Scored<'a>> {
-        let usable = self.endpoints.iter().filter(move |(_, endpoint)| {
+    fn scored<'a>(&'a self, now_ms: u64, request: &PickRequest<'_>) -> Vec<Scored<'a>> {
+        let placement = self.placements.get(request.service);
+        let timed = placement.filter(|placement| placement.is_timed);
+        let is_timed = timed.is_some();
+        let is_bounded = self.has_program_affinity || is_timed;
+        let memory = request.memory.filter(|_| is_bounded);
+        let request_tokens = placement.map_or(0.0, |placement| placement.request_tokens);
+        let usable = self.endpoints.iter().filter(|(_, endpoint)| {
             endpoint.accepts(request.service, &self.zones)
                 && !request.tried.contains(&endpoint.entry.id)
                 && endpoint.limit.wait_ms(now_ms) == 0
         });
         let draw = self.zones.draw();
-        usable.map(move |(key, endpoint)| {
-            let bonus = affinity.bonus(key, self.is_remote(endpoint));
+        let scored = usable.map(|(key, endpoint)| {
+            let has_room = memory
+                .is_none_or(|memory| endpoint.has_room(now_ms, memory, request_tokens));
+            let memory_penalty = if has_room { 0.0 } else { MEMORY_PENALTY };
             let zone = &endpoint.entry.availability_zone;
             let return_penalty = self.zones.penalty(now_ms, zone, draw);
             Scored {
                 key,
                 endpoint,
-                score: self.score(now_ms, endpoint) - bonus + return_penalty,
-                is_preferred: bonus > 0.0,
+                score: endpoint.score(now_ms, timed) + memory_penalty + return_penalty,
+                is_remote: self.is_remote(endpoint),
+                is_preferred: false,
             }
-        })
+        });
+        let mut scored: Vec<Scored<'a>> = scored.collect();
+        let overflow = self.overflow(request, &scored);
+        let affinity = self.affinity(request, is_timed, overflow);
+        let remote_cost = match is_timed {
+            true => overflow.cost(REMOTE_ZONE_PENALTY),
+            false => REMOTE_ZONE_PENALTY,
+        };
+        for scored in &mut scored {
+            let bonus = affinity.bonus(scored.key, scored.is_remote);
+            scored.is_preferred = bonus > 0.0;
+            scored.score += if scored.is_remote { remote_cost } else { 0.0 };
+            scored.score -= bonus;
+        }
+        scored
+    }
+
+    /// Decides whether requests of a service go to other zones, from the scores without the cost of
+    /// crossing and without affinity. A retry, which leaves out endpoints, changes no state.
+    fn overflow(&self, request: &PickRequest<'_>, scored: &[Scored<'_>]) -> Overflow {
+        let placement = self.placements.get(request.service);
+        let best = |is_remote: bool| {
+            let zone = scored.iter().filter(|one| one.is_remote == is_remote);
+            zone.map(|one| one.score).min_by(f64::total_cmp)
+        };
+        let mut overflow =
+            placement.map_or_else(Overflow::default, |one| one.overflow.get());
+        overflow.update(best(false), best(true), REMOTE_ZONE_PENALTY);
+        if let Some(placement) = placement.filter(|_| request.tried.is_empty()) {
+            placement.overflow.set(overflow);
+        }
+        overflow
     }
 
     fn picked(&self, now_ms: u64, scored: &Scored<'_>) -> Pick {
         let endpoint = scored.endpoint;
-        let is_remote = self.is_remote(endpoint);
+        let is_timed = self.timed(&endpoint.entry.service).is_some();
         Pick {
             key: scored.key,
             id: endpoint.entry.id.clone(),
             address: endpoint.entry.address,
-            is_remote,
+            is_remote: scored.is_remote,
             needs_token: endpoint.limit.needs_token(now_ms),
-            reason: match (scored.is_preferred, is_remote) {
-                (true, _) => PickReason::Affinity,
-                (false, true) => PickReason::Overflow,
-                (false, false) => PickReason::Score,
+            reason: match scored.is_remote {
+                true => PickReason::Overflow,
+                false if scored.is_preferred => PickReason::Affinity,
+                false if is_timed => PickReason::ExpectedTime,
+                false => PickReason::Score,
             },
             is_cold: endpoint.limit.is_cold(now_ms),
         }
@@ -408,29 +556,6 @@
         endpoint.entry.availability_zone != self.availability_zone
     }
 
-    /// Estimated load per slot with one more request, corrected by penalties. Lower is better. The
-    /// terms for paused and suspended endpoints exceed all others.
-    fn score(&self, now_ms: u64, endpoint: &Endpoint) -> f64 {
-        let load = endpoint.load(now_ms) + 1.0 / f64::from(endpoint.entry.slots);
-        let pause_penalty = match endpoint.paused_until_ms > now_ms {
-            true => 1_000.0 + f64::from(endpoint.consecutive_failures),
-            false => 0.0,
-        };
-        let suspension_penalty = if endpoint.is_suspended { 10_000.0 } else { 0.0 };
-        let zone_penalty = match self.is_remote(endpoint) {
-            true => REMOTE_ZONE_PENALTY,
-            false => 0.0,
-        };
-        let slowness = endpoint.slowness_at(now_ms);
-        let error_penalty = ERROR_PENALTY * endpoint.error_rate_at(now_ms);
-        load * slowness
-            + (slowness - 1.0) * 0.5
-            + error_penalty
-            + zone_penalty
-            + pause_penalty
-            + suspension_penalty
-    }
-
     /// Whether every endpoint of a service has more work than it can queue, judged by its
     /// estimated load, or has reached its limit.
     pub fn is_overloaded(&self, now_ms: u64, service: &str) -> bool {
@@ -480,6 +605,27 @@
         }
     }
 
+    /// Counts the tokens of a request that was sent to an endpoint. 0 if they are unknown.
+    pub fn hold_tokens(&mut self, key: EndpointKey, tokens: u32) {
+        let endpoint = self.endpoints.get_mut(key).filter(|_| tokens > 0);
+        if let Some(endpoint) = endpoint {
+            endpoint.tokens.begin(tokens);
+            if let Some(placement) = self.placements.get_mut(&endpoint.entry.service) {
+                let tokens = f64::from(tokens);
+                placement.request_tokens +=
+                    (tokens - placement.request_tokens) * REQUEST_TOKENS_WEIGHT;
+            }
+        }
+    }
+
+    /// Releases the tokens of a request. Called once for each `hold_tokens`, with the same number.
+    pub fn release_tokens(&mut self, key: EndpointKey, tokens: u32) {
+        let endpoint = self.endpoints.get_mut(key).filter(|_| tokens > 0);
+        if let Some(endpoint) = endpoint {
+            endpoint.tokens.end(tokens);
+        }
+    }
+
     /// Records that a response of the endpoint said that it is about to stop. Its entry in the
     /// registry may say so later or not at all. Returns whether that is news.
     pub fn mark_leaving(&mut self, key: EndpointKey) -> bool {
@@ -577,11 +723,71 @@
     pub fn report(&mut self, now_ms: u64, key: EndpointKey, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             let total = f64::from(load.running) + f64::from(load.waiting);
-            endpoint.other_requests = (total - f64::from(endpoint.own_requests)).max(0.0);
+            let others = (total - f64::from(endpoint.own_requests)).max(0.0);
+            let usual = endpoint.usual_requests.unwrap_or(others);
+            let usual = usual + (others - usual) * USUAL_LOAD_WEIGHT;
+            endpoint.usual_requests = Some(usual);
+            endpoint.other_requests = others;
             endpoint.reported_ms = now_ms;
+            let slots = f64::from(endpoint.entry.slots);
+            if let Some(placement) = self.placements.get_mut(&endpoint.entry.service) {
+                placement.usual_load +=
+                    (others / slots - placement.usual_load) * SERVICE_LOAD_WEIGHT;
+            }
+        }
+    }
+
+    /// Takes the work factor that an endpoint reports along with its load. From the first one on,
+    /// the endpoints of its service are ranked by expected time.
+    pub fn report_work_factor(
+        &mut self,
+        now_ms: u64,
+        key: EndpointKey,
+        factor: Option<f64>,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let factor = factor.and_then(|factor| WorkFactor::new(now_ms, factor));
+        if factor.is_some() {
+            endpoint.work_factor = factor;
+        }
+        let service = &endpoint.entry.service;
+        if !self.placements.contains_key(service) {
+            self.placements
+                .insert(service.clone(), ServicePlacement::default());
+        }
+        if let Some(placement) = self.placements.get_mut(service) {
+            placement.is_timed |= factor.is_some();
         }
     }
 
+    /// Records a successful response that was complete `elapsed_ms` after the request was sent.
+    pub fn complete(&mut self, now_ms: u64, key: EndpointKey, elapsed_ms: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let Some(placement) = self.placements.get_mut(&endpoint.entry.service) else {
+            return;
+        };
+        // How long a request waited is unknown. Estimates corrected by the load at the end made
+        // endpoints with growing queues look fast.
+        if endpoint.load(now_ms) > 1.0 {
+            return;
+        }
+        let factor = endpoint.work_factor_at(now_ms);
+        let request_ms = elapsed_ms.max(1) as f64 / factor;
+        match placement.request_ms > 0.0 {
+            true => {
+                placement.request_ms +=
+                    (request_ms - placement.request_ms) * REQUEST_TIME_WEIGHT;
+            }
+            false => placement.request_ms = request_ms,
+        }
+        let observed = request_ms / placement.request_ms;
+        endpoint.speed.learn(now_ms, observed);
+    }
+
     /// Records a request without a usable response, and pauses the endpoint.
     pub fn fail(&mut self, now_ms: u64, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
@@ -661,6 +867,7 @@
     endpoint: &'a Endpoint,
     /// Lower is better.
     score: f64,
+    is_remote: bool,
     /// The request prefers it to others with a slightly lower score.
     is_preferred: bool,
 }
@@ -671,28 +878,36 @@
     last: Option<EndpointKey>,
     /// The one that ran the turn which the request continues.
     previous_turn: Option<EndpointKey>,
-    /// The candidates for the program. `None` if programs are not assigned to endpoints.
+    /// The key is an object.
+    is_object: bool,
+    /// The candidates for the key. `None` if the request is not assigned to endpoints.
     candidates: Option<Candidates<EndpointKey>>,
+    /// The candidates in other zones. `None` if no requests go there.
+    remote_candidates: Option<Candidates<EndpointKey>>,
 }
 
 impl Affinity {
-    /// By how much the score of an endpoint is lowered. A remote endpoint gets little, so that a
-    /// program returns to the own zone.
+    /// By how much the score of an endpoint is lowered. A remote endpoint gets little while there
+    /// is no overflow, so that a program returns to the own zone.
     fn bonus(&self, key: EndpointKey, is_remote: bool) -> f64 {
         let is_last = self.last == Some(key);
-        let ran_previous_turn = self.previous_turn == Some(key);
-        match &self.candidates {
-            Some(candidates) => {
-                let history = match ran_previous_turn {
-                    true if !is_remote => HeldHistory::Whole,
-                    false if !is_last => HeldHistory::Unknown,
-                    _ => HeldHistory::Part,
-                };
-                affinity_bonus(history, candidates.position(key))
-            }
-            None if is_last => AFFINITY_BONUS,
-            None => 0.0,
+        let Some(candidates) = &self.candidates else {
+            return if is_last { AFFINITY_BONUS } else { 0.0 };
+        };
+        let candidates = match is_remote {
+            true => self.remote_candidates.as_ref(),
+            false => Some(candidates),
+        };
+        let position = candidates.and_then(|candidates| candidates.position(key));
+        if self.is_object {
+            return object_bonus(position);
         }
+        let history = match self.previous_turn == Some(key) {
+            true if candidates.is_some() => HeldHistory::Whole,
+            false if !is_last => HeldHistory::Unknown,
+            _ => HeldHistory::Part,
+        };
+        program_bonus(history, position)
     }
 }
 
@@ -704,6 +919,51 @@
         self.entry.service == service && !is_ending && !is_evacuated
     }
 
+    /// Estimated load per slot with one more request, or its expected time in those of a typical
+    /// request, corrected by penalties. Lower is better. The terms for paused and suspended
+    /// endpoints exceed all others.
+    ///
+    /// `timed` is the state of the service if its endpoints are ranked by expected time.
+    fn score(&self, now_ms: u64, timed: Option<&ServicePlacement>) -> f64 {
+        let time = match timed {
+            Some(service) => {
+                let requests = self.expected_requests(now_ms, service.usual_load);
+                let relative_time =
+                    self.speed.relative_time(now_ms) * self.work_factor_at(now_ms);
+                expected_time(load_per_slot(requests, self.entry.slots), relative_time)
+            }
+            None => {
+                let load = self.load(now_ms) + 1.0 / f64::from(self.entry.slots);
+                let slowness = self.slowness_at(now_ms);
+                load * slowness + (slowness - 1.0) * 0.5
+            }
+        };
+        let pause_penalty = match self.paused_until_ms > now_ms {
+            true => 1_000.0 + f64::from(self.consecutive_failures),
+            false => 0.0,
+        };
+        let suspension_penalty = if self.is_suspended { 10_000.0 } else { 0.0 };
+        let error_penalty = ERROR_PENALTY * self.error_rate_at(now_ms);
+        time + error_penalty + pause_penalty + suspension_penalty
+    }
+
+    /// Whether its memory is expected to hold a request. Those of other instances are assumed to
+    /// be like those of this one there, or else to have `request_tokens`.
+    fn has_room(&self, now_ms: u64, memory: MemoryBound, request_tokens: f64) -> bool {
+        let requests = self.load(now_ms) * f64::from(self.entry.slots);
+        self.tokens.has_room(
+            requests,
+            request_tokens,
+            memory.tokens,
+            memory.capacity_tokens,
+        )
+    }
+
+    /// How long work currently takes, where 1 is the usual time.
+    fn work_factor_at(&self, now_ms: u64) -> f64 {
+        self.work_factor.map_or(1.0, |factor| factor.at(now_ms))
+    }
+
     fn limit_report(&self, now_ms: u64) -> EndpointLimit {
         EndpointLimit {
             endpoint: self.entry.id.clone(),
@@ -720,6 +980,23 @@
         (f64::from(self.own_requests) + other_requests) / f64::from(self.entry.slots)
     }
 
+    /// Estimated number of requests, running and waiting. Other than in `load`, those of other
+    /// instances return to their usual number and not to 0 once the report is old.
+    fn expected_requests(&self, now_ms: u64, usual_load: f64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.reported_ms) as f64;
+        let weight = (-age_ms / OTHERS_HALF_LIFE_MS * std::f64::consts::LN_2).exp();
+        let slots = f64::from(self.entry.slots);
+        let usual = self
+            .usual_requests
+            .unwrap_or(slots * usual_load * UNKNOWN_LOAD_SHARE);
+        let weight = if self.usual_requests.is_some() {
+            weight
+        } else {
+            0.0
+        };
+        f64::from(self.own_requests) + usual + (self.other_requests - usual) * weight
+    }
+
     /// Updates the error rate with the outcome of one request.
     fn update_error_rate(&mut self, now_ms: u64, is_error: bool) {
         let before = self.error_rate_at(now_ms);
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -116,6 +116,8 @@
     pub retention_ms: u64,
     /// Requests need no API key.
     pub is_open: bool,
+    /// Requests on the same object are faster at an endpoint that has handled the object recently.
+    pub is_sticky: bool,
 }
 
 /// A group of interchangeable endpoints.
@@ -144,6 +146,9 @@
 pub struct Engine {
     /// Number of tokens that one event of a response stream counts for.
     pub event_tokens: u32,
+    /// Number of tokens, of prompts and generated, that the memory of one engine holds. `None` if it
+    /// is not known.
+    pub memory_tokens: Option<u32>,
 }
 
 impl Configuration {
--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -52,6 +52,8 @@
     pub priority: Option<u8>,
     /// Number of idle connections to keep to the endpoint.
     pub max_idle: usize,
+    /// Tokens that it takes in the memory of an engine at most. 0 if unknown.
+    pub memory_tokens: u32,
 }
 
 /// Timeouts for one send, in milliseconds.
@@ -77,11 +79,19 @@
     idle_ms: u64,
     /// Number of idle connections to keep to the endpoint.
     max_idle: usize,
+    /// Tokens that the request takes in the memory of an engine.
+    memory_tokens: u32,
+    /// When the request was sent whose successful response is being read.
+    answered_sent_ms: Option<u64>,
 }
 
 impl PooledConnection {
     /// Returns the connection to the pool. The response must have been read completely.
     pub(crate) fn release(mut self) {
+        if let Some(sent_ms) = self.answered_sent_ms {
+            let mut balancer = self.edge.balancer.borrow_mut();
+            balancer.complete(now_ms(), self.key, now_ms() - sent_ms);
+        }
         if let Some(http_connection) = self.http_connection.take() {
             let mut pool = self.edge.pool.borrow_mut();
             pool.put(
@@ -102,7 +112,9 @@
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        self.edge.balancer.borrow_mut().end(self.key);
+        let mut balancer = self.edge.balancer.borrow_mut();
+        balancer.end(self.key);
+        balancer.release_tokens(self.key, self.memory_tokens);
     }
 }
 
@@ -127,13 +139,19 @@
     last_event_id: Option<u64>,
     timeouts: SendTimeouts,
 ) -> Result<EndpointResponse, Outcome> {
-    edge.balancer.borrow_mut().begin(pick.key);
+    {
+        let mut balancer = edge.balancer.borrow_mut();
+        balancer.begin(pick.key);
+        balancer.hold_tokens(pick.key, outgoing.memory_tokens);
+    }
     let mut connection = PooledConnection {
         edge: Rc::clone(edge),
         key: pick.key,
         http_connection: None,
         idle_ms: 0,
         max_idle: outgoing.max_idle,
+        memory_tokens: outgoing.memory_tokens,
+        answered_sent_ms: None,
     };
     let sent_ms = now_ms();
     let timeout = Duration::from_millis(timeouts.head_timeout_ms);
@@ -280,6 +298,7 @@
     if let Some(load) = head.load {
         let mut balancer = edge.balancer.borrow_mut();
         balancer.report(now_ms(), pick.key, load);
+        balancer.report_work_factor(now_ms(), pick.key, head.work_factor);
     }
     if head.is_leaving && edge.balancer.borrow_mut().mark_leaving(pick.key) {
         log::info!(
@@ -299,6 +318,7 @@
     let outcome = match classify_response(&head, parts.status, &outgoing.request_id) {
         Some(outcome) => outcome,
         None => {
+            connection.answered_sent_ms = parts.status.is_success().then_some(sent_ms);
             return Ok(EndpointResponse {
                 status: parts.status,
                 headers: parts.headers,
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -21,12 +21,17 @@
     pub key: Option<String>,
     /// Last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Number of tokens of the prompt, if the request names it.
+    pub prompt_tokens: Option<u32>,
     /// Upper bound of the tokens that the request generates, if it sets one.
     pub max_tokens: Option<u32>,
     /// The program of the request, if it belongs to one.
     pub program: Option<ProgramCall>,
     /// Identifier of the turn that this one continues, if any.
     pub previous_turn: Option<String>,
+    /// The object that the request is about, if it names one. The same for all requests on the
+    /// same object.
+    pub object: Option<String>,
 }
 
 impl CallHead {
@@ -34,6 +39,15 @@
     pub fn reserved_tokens(&self) -> u32 {
         self.max_tokens.unwrap_or(DEFAULT_RESERVED_TOKENS)
     }
+
+    /// Number of tokens that the request takes in the memory of an engine at most, as far as it
+    /// names them.
+    pub fn memory_tokens(&self) -> u32 {
+        let generated_tokens = self.max_tokens.unwrap_or(0);
+        self.prompt_tokens
+            .unwrap_or(0)
+            .saturating_add(generated_tokens)
+    }
 }
 
 /// What a request says about the program to which it belongs.
@@ -99,6 +113,9 @@
     pub is_encoded: bool,
     /// Load of the endpoint, including this request.
     pub load: Option<Load>,
+    /// How long work currently takes on the endpoint's machine, where 1 is the usual time. `None`
+    /// if it does not report it.
+    pub work_factor: Option<f64>,
     /// The endpoint is about to stop and must get no new requests.
     pub is_leaving: bool,
     /// Requests per second that the endpoint accepts from all instances together. None if it sets
