Restrict requests to the home regions of their route and customer

Cause: a route or a customer may have to stay in some regions (`allowedRegions`), but endpoints and members were chosen without regard to them.

Change: `Route::home_regions` and `Customer::home_regions`; the settings give the region of each zone and of the instance. `home_regions.rs` computes the zones of a request. The balancer takes them with the service (`Target`) in every choice, and a request without an endpoint in them is rejected at once (503 `no_endpoint`). Turns are stored only at members in these zones or in the caller's region, or rejected if they are too few (503 `no_member_in_region`). Copies between members are not restricted. `Customer` is no longer `Copy`, and `Configuration::customer_of` returns a reference.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -13,6 +13,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::directory::EndpointEntry;
+use crate::home_regions::Target;
 use crate::limit_view::LimitView;
 use crate::protocol::Load;
 use crate::zone_state::{ZoneChange, ZoneStates};
@@ -212,9 +213,10 @@
     }
 
     /// Whether any endpoint of a service accepts new requests.
-    pub fn serves(&self, service: &str) -> bool {
+    pub fn serves<'a>(&self, target: impl Into<Target<'a>>) -> bool {
+        let target = target.into();
         let mut endpoints = self.endpoints.values();
-        endpoints.any(|endpoint| endpoint.accepts(service, &self.zones))
+        endpoints.any(|endpoint| endpoint.accepts(target, &self.zones))
     }
 
     /// Chooses the endpoint of a service with the lowest score. `affinity` is the identifier of
@@ -222,28 +224,29 @@
     ///
     /// An endpoint that failed recently is chosen only if there is no other. One that has reached
     /// its limit is not chosen.
-    pub fn pick(
+    pub fn pick<'a>(
         &self,
         now_ms: u64,
-        service: &str,
+        target: impl Into<Target<'a>>,
         affinity: Option<&str>,
         tried: &[String],
     ) -> Option<Pick> {
-        let scored = self.scored(now_ms, service, affinity, tried);
+        let scored = self.scored(now_ms, target.into(), affinity, tried);
         let best = scored.min_by(|(_, _, a), (_, _, b)| a.total_cmp(b));
         best.map(|(key, endpoint, _)| self.picked(now_ms, key, endpoint))
     }
 
     /// Like `pick`, but all endpoints that may be chosen, the best first. Ends with the first one
     /// that needs no token.
-    pub fn candidates(
+    pub fn candidates<'a>(
         &self,
         now_ms: u64,
-        service: &str,
+        target: impl Into<Target<'a>>,
         affinity: Option<&str>,
         tried: &[String],
     ) -> Vec<Pick> {
-        let mut scored: Vec<_> = self.scored(now_ms, service, affinity, tried).collect();
+        let target = target.into();
+        let mut scored: Vec<_> = self.scored(now_ms, target, affinity, tried).collect();
         scored.sort_by(|(_, _, a), (_, _, b)| a.total_cmp(b));
         let needing = scored
             .iter()
@@ -259,12 +262,12 @@
     fn scored<'a>(
         &'a self,
         now_ms: u64,
-        service: &'a str,
+        target: Target<'a>,
         affinity: Option<&'a str>,
         tried: &'a [String],
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint, f64)> {
         let usable = self.endpoints.iter().filter(move |(_, endpoint)| {
-            endpoint.accepts(service, &self.zones)
+            endpoint.accepts(target, &self.zones)
                 && !tried.contains(&endpoint.entry.id)
                 && endpoint.limit.wait_ms(now_ms) == 0
         });
@@ -313,11 +316,12 @@
 
     /// Whether every endpoint of a service has more work than it can queue, judged by its
     /// estimated load, or has reached its limit.
-    pub fn is_overloaded(&self, now_ms: u64, service: &str) -> bool {
+    pub fn is_overloaded<'a>(&self, now_ms: u64, target: impl Into<Target<'a>>) -> bool {
+        let target = target.into();
         let mut usable = self
             .endpoints
             .values()
-            .filter(|endpoint| endpoint.accepts(service, &self.zones));
+            .filter(|endpoint| endpoint.accepts(target, &self.zones));
         usable.all(|endpoint| {
             endpoint.load(now_ms) > OVERLOAD_LOAD_PER_SLOT
                 || endpoint.limit.wait_ms(now_ms) > 0
@@ -386,9 +390,14 @@
 
     /// If every endpoint of a service has reached its limit: how long until one of them may
     /// accept a request again, in milliseconds.
-    pub fn limit_wait_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+    pub fn limit_wait_ms<'a>(
+        &self,
+        now_ms: u64,
+        target: impl Into<Target<'a>>,
+    ) -> Option<u64> {
+        let target = target.into();
         let endpoints = self.endpoints.values();
-        let usable = endpoints.filter(|endpoint| endpoint.accepts(service, &self.zones));
+        let usable = endpoints.filter(|endpoint| endpoint.accepts(target, &self.zones));
         let wait_ms = usable.map(|endpoint| endpoint.limit.wait_ms(now_ms)).min();
         wait_ms.filter(|wait_ms| *wait_ms > 0)
     }
@@ -477,11 +486,12 @@
 }
 
 impl Endpoint {
-    /// Whether it accepts new requests for a service.
-    fn accepts(&self, service: &str, zones: &ZoneStates) -> bool {
+    /// Whether it accepts new requests for a target.
+    fn accepts(&self, target: Target<'_>, zones: &ZoneStates) -> bool {
+        let zone = &self.entry.availability_zone;
         let is_ending = self.entry.is_draining || self.is_leaving;
-        let is_evacuated = zones.is_evacuated(&self.entry.availability_zone);
-        self.entry.service == service && !is_ending && !is_evacuated
+        let is_usable_zone = target.allows(zone) && !zones.is_evacuated(zone);
+        self.entry.service == target.service && !is_ending && is_usable_zone
     }
 
     fn limit_report(&self, now_ms: u64) -> EndpointLimit {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -22,12 +22,14 @@
 }
 
 /// What a customer's contract says about its requests.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
     /// Overrides the priority of the route, if set. 0 is the most urgent.
     pub priority: Option<u8>,
     /// Request rate and burst, counted over all entry instances together.
     pub limit: RateLimit,
+    /// Regions to which its requests are restricted. Empty for no restriction.
+    pub home_regions: Vec<String>,
 }
 
 /// Size and time limits on callers' requests and connections.
@@ -116,6 +118,8 @@
     pub retention_ms: u64,
     /// Requests need no API key.
     pub is_open: bool,
+    /// Regions to which its requests are restricted. Empty for no restriction.
+    pub home_regions: Vec<String>,
 }
 
 /// A group of interchangeable endpoints.
@@ -144,9 +148,9 @@
     }
 
     /// Name and contract of the customer that owns an API key.
-    pub fn customer_of(&self, key: &str) -> Option<(&str, Customer)> {
+    pub fn customer_of(&self, key: &str) -> Option<(&str, &Customer)> {
         let name = self.keys.get(key)?;
         let customer = self.customers.get(name)?;
-        Some((name, *customer))
+        Some((name, customer))
     }
 }
--- a/crates/gateway/src/edge/admission.rs
+++ b/crates/gateway/src/edge/admission.rs
@@ -16,6 +16,7 @@
 use crate::edge::collect::{CollectError, Collected, collect_request};
 use crate::edge::members::STORAGE_FULL_PAUSE_MS;
 use crate::edge::refusal::Refusal;
+use crate::home_regions::{HomeZones, Target};
 use crate::protocol::CallHead;
 
 /// Retry-After while the configuration is stale although a quorum of members responds, in
@@ -108,7 +109,7 @@
     let key = call.key.as_deref();
     match key.and_then(|key| configuration.customer_of(key)) {
         _ if !is_fresh => Err(stale_configuration(edge).closing_connection()),
-        Some((name, customer)) => Ok(Some((name.to_string(), customer))),
+        Some((name, customer)) => Ok(Some((name.to_string(), customer.clone()))),
         None if edge.is_configuration_recent() => {
             Err(Refusal::denied(StatusCode::UNAUTHORIZED, "unknown_key"))
         }
@@ -130,29 +131,46 @@
 }
 
 /// Refuses a request early if its service has no endpoint, or all its endpoints are overloaded.
-pub(crate) fn check_endpoints(edge: &Edge, service: &str) -> Result<(), Refusal> {
+pub(crate) fn check_endpoints(edge: &Edge, target: Target<'_>) -> Result<(), Refusal> {
     let balancer = edge.balancer.borrow();
-    match balancer.serves(service) {
+    match balancer.serves(target) {
         false => Err(Refusal::retry_later(
             "no_endpoint",
             NO_ENDPOINT_RETRY_AFTER_MS,
         )),
-        true if balancer.is_overloaded(now_ms(), service) => {
-            Err(overload_refusal(edge, service, "overloaded"))
+        true if balancer.is_overloaded(now_ms(), target) => {
+            Err(overload_refusal(edge, target, "overloaded"))
         }
         true => Ok(()),
     }
 }
 
+/// Refuses a request early if its turns cannot be stored, because too few members are in the zones
+/// in which they may be.
+pub(crate) fn check_home_members(
+    edge: &Edge,
+    route: &Route,
+    home: Option<&HomeZones>,
+) -> Result<(), Refusal> {
+    let zones = home.map(|home| &home.members);
+    match route.stores_turns && !edge.members.can_store_in(zones) {
+        true => Err(Refusal::retry_later(
+            "no_member_in_region",
+            NO_ENDPOINT_RETRY_AFTER_MS,
+        )),
+        false => Ok(()),
+    }
+}
+
 /// Refusal while no endpoint of a service can take a request. If all of them have reached their
 /// limits, Retry-After is the time until the next token, and up to `LIMIT_RETRY_SPREAD_MS` more so
 /// that callers do not all return for the same one.
 pub(crate) fn overload_refusal(
     edge: &Edge,
-    service: &str,
+    target: Target<'_>,
     reason: &'static str,
 ) -> Refusal {
-    match edge.balancer.borrow().limit_wait_ms(now_ms(), service) {
+    match edge.balancer.borrow().limit_wait_ms(now_ms(), target) {
         Some(wait_ms) => {
             let spread_ms = rand::rng().random_range(0..LIMIT_RETRY_SPREAD_MS);
             let (min_ms, max_ms) = LIMIT_RETRY_AFTER_BOUNDS_MS;
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -18,8 +18,8 @@
 use crate::clock::now_ms;
 use crate::config::{CallKind, Route};
 use crate::edge::admission::{
-    check_endpoints, check_group, choose_service, find_customer, find_route,
-    overload_refusal, quota_request, read_body,
+    check_endpoints, check_group, check_home_members, choose_service, find_customer,
+    find_route, overload_refusal, quota_request, read_body,
 };
 use crate::edge::body::CallBody;
 use crate::edge::collect::{Claim, CollectError, Collected, collect_response};
@@ -31,6 +31,7 @@
 use crate::edge::shutdown::Shutdown;
 use crate::edge::stream::{self, BudgetReservation, StreamCall};
 use crate::edge::{DisconnectLogger, Edge, RequestLogFields};
+use crate::home_regions::{HomeZones, Target};
 use crate::protocol::CallHead;
 use crate::quota_buffer::BufferedToken;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
@@ -80,6 +81,8 @@
 pub(crate) struct AdmittedCall {
     pub route: Route,
     pub service: String,
+    /// The zones to which the request is restricted. `None` without home regions.
+    pub home: Option<HomeZones>,
     pub call: CallHead,
     pub outgoing: OutgoingRequest,
     /// Memory of the body that the caller sent.
@@ -128,6 +131,14 @@
         }
     }
 
+    /// The endpoints that may run it.
+    fn target(&self) -> Target<'_> {
+        Target {
+            service: &self.service,
+            zones: self.home.as_ref().map(|home| &home.endpoints),
+        }
+    }
+
     pub(crate) fn program(&self) -> Option<&str> {
         self.call
             .program
@@ -229,7 +240,20 @@
     let timeout_ms = call.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     check_shutdown(edge, &route, arrived_ms, timeout_ms)?;
     let service = choose_service(&route);
-    check_endpoints(edge, &service)?;
+    let customer_regions = customer
+        .as_ref()
+        .map(|(_, one)| one.home_regions.as_slice());
+    let home = edge.settings.regions.home_zones(
+        &edge.settings.availability_zone,
+        &route.home_regions,
+        customer_regions.unwrap_or_default(),
+    );
+    let target = Target {
+        service: &service,
+        zones: home.as_ref().map(|home| &home.endpoints),
+    };
+    check_endpoints(edge, target)?;
+    check_home_members(edge, &route, home.as_ref())?;
     check_group(edge, &route, &call, customer.is_some())?;
     let Collected {
         content: body,
@@ -260,6 +284,7 @@
     let rank = priority.unwrap_or(route.priority);
     Ok(AdmittedCall {
         service,
+        home,
         outgoing: OutgoingRequest {
             method: parts.method.clone(),
             uri: target,
@@ -403,9 +428,9 @@
     edge.check_crashes(&admitted.outgoing.fingerprints)?;
     let program = admitted.program().unwrap_or_default();
     let affinity = edge.affinity.borrow().get(program).cloned();
-    let service = &admitted.service;
+    let target = admitted.target();
     let pick = edge
-        .pick_within_limits(service, affinity.as_deref(), tried)
+        .pick_within_limits(target, affinity.as_deref(), tried)
         .await;
     *admitted.endpoint.borrow_mut() = pick.as_ref().map(|pick| pick.id.clone());
     pick.ok_or_else(|| match attempt.may_have_run {
@@ -414,10 +439,10 @@
             if edge
                 .balancer
                 .borrow()
-                .limit_wait_ms(now_ms(), service)
+                .limit_wait_ms(now_ms(), target)
                 .is_some() =>
         {
-            overload_refusal(edge, service, "no_endpoint")
+            overload_refusal(edge, target, "no_endpoint")
         }
         false => Refusal::retry_later("no_endpoint", NO_ENDPOINT_RETRY_AFTER_MS),
     })
--- a/crates/gateway/src/edge/limits.rs
+++ b/crates/gateway/src/edge/limits.rs
@@ -9,6 +9,7 @@
 use crate::balance::{EndpointKey, Pick};
 use crate::clock::now_ms;
 use crate::edge::Edge;
+use crate::home_regions::Target;
 use crate::log_fields::OrNone;
 
 /// Rounds in which endpoints are chosen for one send. In each one, other instances may take the
@@ -26,7 +27,7 @@
     /// Chooses an endpoint like `Balancer::pick`, and takes a token for it if it needs one.
     pub(crate) async fn pick_within_limits(
         &self,
-        service: &str,
+        target: Target<'_>,
         affinity: Option<&str>,
         tried: &[String],
     ) -> Option<Pick> {
@@ -34,15 +35,15 @@
             let best = self
                 .balancer
                 .borrow()
-                .pick(now_ms(), service, affinity, tried)?;
+                .pick(now_ms(), target, affinity, tried)?;
             if !best.needs_token {
                 return Some(best);
             }
             let candidates =
                 self.balancer
                     .borrow()
-                    .candidates(now_ms(), service, affinity, tried);
-            let pick = self.take_send(service, candidates).await;
+                    .candidates(now_ms(), target, affinity, tried);
+            let pick = self.take_send(target.service, candidates).await;
             if pick.is_some() {
                 return pick;
             }
--- a/crates/gateway/src/edge/members.rs
+++ b/crates/gateway/src/edge/members.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use futures::stream::FuturesUnordered;
@@ -380,11 +381,33 @@
     pub async fn store_turn(
         self: &Rc<Self>,
         record: &TurnRecord,
+    ) -> Result<(), NoQuorum> {
+        self.store_turn_in(None, record).await
+    }
+
+    /// Whether there are as many members in these zones as a turn needs copies. `None` stands for
+    /// all zones.
+    pub fn can_store_in(&self, zones: Option<&BTreeSet<String>>) -> bool {
+        let Some(zones) = zones else {
+            return true;
+        };
+        let group = self.group();
+        let members = group.members.iter();
+        let allowed = members.filter(|one| zones.contains(&one.availability_zone));
+        allowed.count() >= group.copies().max(1)
+    }
+
+    /// Like `store_turn`, but sends the turn only to members in these zones. Fails if they are too
+    /// few.
+    pub async fn store_turn_in(
+        self: &Rc<Self>,
+        zones: Option<&BTreeSet<String>>,
+        record: &TurnRecord,
     ) -> Result<(), NoQuorum> {
         let until_ms = now_ms() + store_timeout_ms(record);
         loop {
             let version = self.group().version;
-            let stored = self.store_turn_once(record).await;
+            let stored = self.store_turn_once(zones, record).await;
             if stored.is_ok() {
                 let turn = TurnDigest::of(&record.turn);
                 self.renewals.borrow_mut().record_stored(now_ms(), turn);
@@ -402,11 +425,18 @@
     /// slow.
     async fn store_turn_once(
         self: &Rc<Self>,
+        zones: Option<&BTreeSet<String>>,
         record: &TurnRecord,
     ) -> Result<(), NoQuorum> {
         let group = self.group();
         let key = record.previous.as_deref().unwrap_or(&record.turn);
-        let mut candidates = self.nearest_first(key).into_iter();
+        if !self.can_store_in(zones) {
+            return Err(NoQuorum);
+        }
+        let is_allowed = |member: &Member| {
+            zones.is_none_or(|zones| zones.contains(&member.availability_zone))
+        };
+        let mut candidates = self.nearest_first(key).into_iter().filter(is_allowed);
         let copies = group.copies().max(1);
         let timeout_ms = store_timeout_ms(record);
         let send_next = |member: Member| {
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -509,7 +509,10 @@
 async fn finish(mut call: StreamCall, sender: &mpsc::Sender<BodyChunk>) {
     if let Some(mut record) = call.unfinished_turn.take() {
         record.output = Bytes::from(std::mem::take(&mut call.output));
-        if call.edge.members.store_turn(&record).await.is_err() {
+        let home = call.admitted.home.as_ref();
+        let zones = home.map(|home| &home.members);
+        let stored = call.edge.members.store_turn_in(zones, &record).await;
+        if stored.is_err() {
             log::warn!(
                 "event=turn_not_kept request={} group_version={}",
                 call.admitted.call.request_id,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,8 @@
 
 use jayreel_ledger::RateTolerance;
 
+use crate::home_regions::ZoneRegions;
+
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
@@ -12,6 +14,8 @@
     pub name: String,
     /// Its availability zone.
     pub availability_zone: String,
+    /// The regions of the availability zones, for requests with home regions.
+    pub regions: ZoneRegions,
     /// Address on which callers connect. None on a storage instance.
     pub front: Option<SocketAddr>,
     /// Address of the readiness check for the load balancer. None on a storage instance.
