Read the evacuated zones with each read of the store by an entry instance

Cause: an entry instance that reads the store itself every 900 ms skipped the keys if its set was at most 1,000 ms old, so it read them in every second round only.

Change: the age decides only where the configuration came from a member.

--- a/crates/gateway/src/edge/sync.rs
+++ b/crates/gateway/src/edge/sync.rs
@@ -108,7 +108,9 @@
         {
             // Before the configuration, without which nothing is sent to any zone.
             edge.apply_shared_evacuations(began_ms, found.evacuations.take());
-            edge.read_evacuations().await;
+            if !edge.has_recent_evacuations() {
+                edge.read_evacuations().await;
+            }
             edge.apply_shared_configuration(began_ms, found);
             if !is_reachable {
                 log::info!("event=store_regained by=member");
@@ -180,13 +182,17 @@
 }
 
 impl Edge {
-    /// Reads the evacuated zones from the metadata store, if members have sent none recently. Does
+    /// Whether the known evacuated zones are recent enough not to read them from the metadata store.
+    fn has_recent_evacuations(&self) -> bool {
+        let age_ms = self.evacuations.borrow().age_ms(now_ms());
+        age_ms.is_some_and(|age_ms| age_ms <= MAX_SHARED_AGE_MS)
+    }
+
+    /// Reads the evacuated zones from the metadata store, unless that failed shortly before. Does
     /// nothing if the operator does not evacuate zones.
     async fn read_evacuations(&self) {
-        let age_ms = self.evacuations.borrow().age_ms(now_ms());
-        let is_recent = age_ms.is_some_and(|age_ms| age_ms <= MAX_SHARED_AGE_MS);
         let is_delayed = !self.evacuation_backoff.borrow().is_over(now_ms());
-        if self.settings.bounds.evacuation_ms.is_none() || is_recent || is_delayed {
+        if self.settings.bounds.evacuation_ms.is_none() || is_delayed {
             return;
         }
         let read_began_ms = now_ms();
