--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -20,6 +20,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::directory::EndpointEntry;
+use crate::home_regions::Target;
 use crate::limit_view::LimitView;
 use crate::protocol::Load;
 use crate::zone_state::{ZoneChange, ZoneStates};
@@ -146,8 +147,8 @@
 /// What is known about a request when an endpoint is chosen for it.
 #[derive(Clone, Copy, Debug)]
 pub struct PickRequest<'a> {
-    /// Name of the service.
-    pub service: &'a str,
+    /// The endpoints that may run it.
+    pub target: Target<'a>,
     /// Identifier of the endpoint that ran the program's last turn from this instance.
     pub last_endpoint: Option<&'a str>,
     /// The endpoint that ran the turn which the request continues, and so holds its whole history.
@@ -169,9 +170,9 @@
 
 impl<'a> PickRequest<'a> {
     /// A request without a program.
-    pub fn new(service: &'a str, tried: &'a [String]) -> PickRequest<'a> {
+    pub fn new(target: impl Into<Target<'a>>, tried: &'a [String]) -> PickRequest<'a> {
         PickRequest {
-            service,
+            target: target.into(),
             last_endpoint: None,
             previous_turn: None,
             program: None,
@@ -361,9 +362,10 @@
     }
 
     /// Whether any endpoint of a service accepts new requests.
-    pub fn serves(&self, service: &str) -> bool {
+    pub fn serves<'a>(&self, target: impl Into<Target<'a>>) -> bool {
+        let target = target.into();
         let mut endpoints = self.endpoints.values();
-        endpoints.any(|endpoint| endpoint.accepts(service, &self.zones))
+        endpoints.any(|endpoint| endpoint.accepts(target, &self.zones))
     }
 
     /// Chooses the endpoint of a service with the lowest score. `affinity` is the identifier of
@@ -371,32 +373,32 @@
     ///
     /// An endpoint that failed recently is chosen only if there is no other. One that has reached
     /// its limit is not chosen.
-    pub fn pick(
+    pub fn pick<'a>(
         &self,
         now_ms: u64,
-        service: &str,
-        affinity: Option<&str>,
-        tried: &[String],
+        target: impl Into<Target<'a>>,
+        affinity: Option<&'a str>,
+        tried: &'a [String],
     ) -> Option<Pick> {
         let request = PickRequest {
             last_endpoint: affinity,
-            ..PickRequest::new(service, tried)
+            ..PickRequest::new(target, tried)
         };
         self.choose(now_ms, &request)
     }
 
     /// Like `choose`, for a request without a program, but all endpoints that may be chosen, the
     /// best first. Ends with the first one that needs no token.
-    pub fn candidates(
+    pub fn candidates<'a>(
         &self,
         now_ms: u64,
-        service: &str,
-        affinity: Option<&str>,
-        tried: &[String],
+        target: impl Into<Target<'a>>,
+        affinity: Option<&'a str>,
+        tried: &'a [String],
     ) -> Vec<Pick> {
         let request = PickRequest {
             last_endpoint: affinity,
-            ..PickRequest::new(service, tried)
+            ..PickRequest::new(target, tried)
         };
         self.choices(now_ms, &request)
     }
@@ -407,7 +409,7 @@
         let scored = self.scored(now_ms, request);
         let random = request
             .random
-            .filter(|_| self.timed(request.service).is_some());
+            .filter(|_| self.timed(request.target.service).is_some());
         let best = match random {
             None => scored.iter().min_by(|a, b| a.score.total_cmp(&b.score)),
             Some(random) => {
@@ -453,7 +455,7 @@
         let key = request.object.or(request.program.filter(|_| is_assigned));
         let candidates = |is_remote: bool| {
             let endpoints = self.endpoints.iter().filter(move |(_, endpoint)| {
-                endpoint.accepts(request.service, &self.zones)
+                endpoint.accepts(request.target, &self.zones)
                     && self.is_remote(endpoint) == is_remote
             });
             let hashes = endpoints.map(|(key, endpoint)| (key, endpoint.hash));
@@ -473,14 +475,14 @@
 
     /// The endpoints that may be chosen, with their scores.
     fn scored<'a>(&'a self, now_ms: u64, request: &PickRequest<'_>) -> Vec<Scored<'a>> {
-        let placement = self.placements.get(request.service);
+        let placement = self.placements.get(request.target.service);
         let timed = placement.filter(|placement| placement.is_timed);
         let is_timed = timed.is_some();
         let is_bounded = self.has_program_affinity || is_timed;
         let memory = request.memory.filter(|_| is_bounded);
         let request_tokens = placement.map_or(0.0, |placement| placement.request_tokens);
         let usable = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.accepts(request.service, &self.zones)
+            endpoint.accepts(request.target, &self.zones)
                 && !request.tried.contains(&endpoint.entry.id)
                 && endpoint.limit.wait_ms(now_ms) == 0
         });
@@ -518,7 +520,7 @@
     /// Decides whether requests of a service go to other zones, from the scores without the cost of
     /// crossing and without affinity. A retry, which leaves out endpoints, changes no state.
     fn overflow(&self, request: &PickRequest<'_>, scored: &[Scored<'_>]) -> Overflow {
-        let placement = self.placements.get(request.service);
+        let placement = self.placements.get(request.target.service);
         let best = |is_remote: bool| {
             let zone = scored.iter().filter(|one| one.is_remote == is_remote);
             zone.map(|one| one.score).min_by(f64::total_cmp)
@@ -558,11 +560,12 @@
 
     /// Whether every endpoint of a service has more work than it can queue, judged by its
     /// estimated load, or has reached its limit.
-    pub fn is_overloaded(&self, now_ms: u64, service: &str) -> bool {
+    pub fn is_overloaded<'a>(&self, now_ms: u64, target: impl Into<Target<'a>>) -> bool {
+        let target = target.into();
         let mut usable = self
             .endpoints
             .values()
-            .filter(|endpoint| endpoint.accepts(service, &self.zones));
+            .filter(|endpoint| endpoint.accepts(target, &self.zones));
         usable.all(|endpoint| {
             endpoint.load(now_ms) > OVERLOAD_LOAD_PER_SLOT
                 || endpoint.limit.wait_ms(now_ms) > 0
@@ -573,7 +576,7 @@
     /// those that accept requests and are not paused, suspended or at their limit.
     pub fn endpoint_loads(&self, now_ms: u64, service: &str) -> Vec<EndpointLoad> {
         let usable = self.endpoints.values().filter(|endpoint| {
-            endpoint.accepts(service, &self.zones)
+            endpoint.accepts(service.into(), &self.zones)
                 && !endpoint.is_suspended
                 && endpoint.paused_until_ms <= now_ms
                 && endpoint.limit.wait_ms(now_ms) == 0
@@ -711,9 +714,14 @@
 
     /// If every endpoint of a service has reached its limit: how long until one of them may
     /// accept a request again, in milliseconds.
-    pub fn limit_wait_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+    pub fn limit_wait_ms<'a>(
+        &self,
+        now_ms: u64,
+        target: impl Into<Target<'a>>,
+    ) -> Option<u64> {
+        let target = target.into();
         let endpoints = self.endpoints.values();
-        let usable = endpoints.filter(|endpoint| endpoint.accepts(service, &self.zones));
+        let usable = endpoints.filter(|endpoint| endpoint.accepts(target, &self.zones));
         let wait_ms = usable.map(|endpoint| endpoint.limit.wait_ms(now_ms)).min();
         wait_ms.filter(|wait_ms| *wait_ms > 0)
     }
@@ -912,11 +920,12 @@
 }
 
 impl Endpoint {
-    /// Whether it accepts new requests for a service.
-    fn accepts(&self, service: &str, zones: &ZoneStates) -> bool {
+    /// Whether it accepts new requests for a target.
+    fn accepts(&self, target: Target<'_>, zones: &ZoneStates) -> bool {
+        let zone = &self.entry.availability_zone;
         let is_ending = self.entry.is_draining || self.is_leaving;
-        let is_evacuated = zones.is_evacuated(&self.entry.availability_zone);
-        self.entry.service == service && !is_ending && !is_evacuated
+        let is_usable_zone = target.allows(zone) && !zones.is_evacuated(zone);
+        self.entry.service == target.service && !is_ending && is_usable_zone
     }
 
     /// Estimated load per slot with one more request, or its expected time in those of a typical
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -18,8 +18,8 @@
 use crate::clock::now_ms;
 use crate::config::{CallKind, Route};
 use crate::edge::admission::{
-    check_endpoints, check_group, choose_service, find_customer, find_route,
-    overload_refusal, quota_request, read_body,
+    check_endpoints, check_group, check_home_members, choose_service, find_customer,
+    find_route, overload_refusal, quota_request, read_body,
 };
 use crate::edge::body::CallBody;
 use crate::edge::collect::{Claim, CollectError, Collected, collect_response};
@@ -31,6 +31,7 @@
 use crate::edge::shutdown::Shutdown;
 use crate::edge::stream::{self, BudgetReservation, StreamCall};
 use crate::edge::{DisconnectLogger, Edge, RequestLogFields};
+use crate::home_regions::{HomeZones, Target};
 use crate::protocol::CallHead;
 use crate::quota_buffer::BufferedToken;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
@@ -80,6 +81,8 @@
 pub(crate) struct AdmittedCall {
     pub route: Route,
     pub service: String,
+    /// The zones to which the request is restricted. `None` without home regions.
+    pub home: Option<HomeZones>,
     pub call: CallHead,
     pub outgoing: OutgoingRequest,
     /// Memory of the body that the caller sent.
@@ -130,6 +133,14 @@
         }
     }
 
+    /// The endpoints that may run it.
+    pub(crate) fn target(&self) -> Target<'_> {
+        Target {
+            service: &self.service,
+            zones: self.home.as_ref().map(|home| &home.endpoints),
+        }
+    }
+
     pub(crate) fn program(&self) -> Option<&str> {
         self.call
             .program
@@ -231,7 +242,20 @@
     let timeout_ms = call.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     check_shutdown(edge, &route, arrived_ms, timeout_ms)?;
     let service = choose_service(&route);
-    check_endpoints(edge, &service)?;
+    let customer_regions = customer
+        .as_ref()
+        .map(|(_, one)| one.home_regions.as_slice());
+    let home = edge.settings.regions.home_zones(
+        &edge.settings.availability_zone,
+        &route.home_regions,
+        customer_regions.unwrap_or_default(),
+    );
+    let target = Target {
+        service: &service,
+        zones: home.as_ref().map(|home| &home.endpoints),
+    };
+    check_endpoints(edge, target)?;
+    check_home_members(edge, &route, home.as_ref())?;
     check_group(edge, &route, &call, customer.is_some())?;
     edge.check_program(&configuration, &route, &service, &call, customer.as_ref())?;
     let Collected {
@@ -263,6 +287,7 @@
     let rank = priority.unwrap_or(route.priority);
     Ok(AdmittedCall {
         service,
+        home,
         outgoing: OutgoingRequest {
             method: parts.method.clone(),
             uri: target,
@@ -407,7 +432,7 @@
     }
     edge.check_crashes(&admitted.outgoing.fingerprints)?;
     let pick = edge.place(admitted, tried).await;
-    let service = &admitted.service;
+    let target = admitted.target();
     *admitted.endpoint.borrow_mut() = pick.as_ref().map(|pick| pick.id.clone());
     pick.ok_or_else(|| match attempt.may_have_run {
         true => Refusal::outcome_unknown(StatusCode::BAD_GATEWAY, "no_other_endpoint"),
@@ -415,10 +440,10 @@
             if edge
                 .balancer
                 .borrow()
-                .limit_wait_ms(now_ms(), service)
+                .limit_wait_ms(now_ms(), target)
                 .is_some() =>
         {
-            overload_refusal(edge, service, "no_endpoint")
+            overload_refusal(edge, target, "no_endpoint")
         }
         false => Refusal::retry_later("no_endpoint", NO_ENDPOINT_RETRY_AFTER_MS),
     })
--- a/crates/gateway/src/edge/limits.rs
+++ b/crates/gateway/src/edge/limits.rs
@@ -47,7 +47,7 @@
                 return Some(best);
             }
             let choices = self.balancer.borrow().choices(now_ms(), request);
-            let pick = self.take_send(request.service, choices).await;
+            let pick = self.take_send(request.target.service, choices).await;
             if pick.is_some() {
                 return pick;
             }
--- a/crates/gateway/src/edge/placement.rs
+++ b/crates/gateway/src/edge/placement.rs
@@ -45,7 +45,7 @@
                     capacity_tokens,
                 }),
             random: Some(rand::rng().random()),
-            ..PickRequest::new(&admitted.service, tried)
+            ..PickRequest::new(admitted.target(), tried)
         };
         let pick = self.pick_within_limits(&request).await;
         if let Some(pick) = &pick {
