Learn no speed from a request that met a queue at the start of its response

Cause: the load that excludes requests from the estimate decays between the head of a streamed response and its end, so most requests that had waited were counted. Change: the waiting requests of the last report exclude them.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -121,6 +121,8 @@
     /// Requests of other instances as of `reported_ms`.
     other_requests: f64,
     reported_ms: u64,
+    /// Requests waited as of `reported_ms`.
+    has_queue: bool,
     /// Average of the reported requests of other instances. `None` before the first report.
     usual_requests: Option<f64>,
     consecutive_failures: u32,
@@ -298,6 +300,7 @@
             own_requests: 0,
             other_requests: 0.0,
             reported_ms: 0,
+            has_queue: false,
             usual_requests: None,
             consecutive_failures: 0,
             paused_until_ms: 0,
@@ -636,6 +639,7 @@
             endpoint.usual_requests = Some(usual);
             endpoint.other_requests = others;
             endpoint.reported_ms = now_ms;
+            endpoint.has_queue = load.waiting > 0;
             let slots = f64::from(endpoint.entry.slots);
             if let Some(placement) = self.placements.get_mut(&endpoint.entry.service) {
                 placement.usual_load +=
@@ -678,8 +682,8 @@
             return;
         };
         // How long a request waited is unknown. Estimates corrected by the load at the end made
-        // endpoints with growing queues look fast.
-        if endpoint.load(now_ms) > 1.0 {
+        // endpoints with growing queues look fast. The last report is that of the response.
+        if endpoint.has_queue {
             return;
         }
         let factor = endpoint.work_factor_at(now_ms);
