--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -51,6 +51,10 @@
 /// about once in two seconds.
 const USUAL_LOAD_WEIGHT: f64 = 0.2;
 
+/// Time constant, in milliseconds, with which an endpoint's usual load returns to that of the
+/// service: a few times the interval between two reports.
+const USUAL_LOAD_DECAY_MS: f64 = 10_000.0;
+
 /// Weight of the newest report in the usual load of a service's endpoints.
 const SERVICE_LOAD_WEIGHT: f64 = 0.02;
 
@@ -124,6 +128,8 @@
     /// Requests of other instances as of `reported_ms`.
     other_requests: f64,
     reported_ms: u64,
+    /// Requests waited as of `reported_ms`.
+    has_queue: bool,
     /// Average of the reported requests of other instances. `None` before the first report.
     usual_requests: Option<f64>,
     consecutive_failures: u32,
@@ -250,7 +256,8 @@
 /// State of the placement of one service.
 #[derive(Debug, Default)]
 struct ServicePlacement {
-    /// Its endpoints report work factors, so they are ranked by expected time.
+    /// Its endpoints report work factors, or programs have affinity, so they are ranked by expected
+    /// time. Affinity with a ranking by load sends slow endpoints as many programs as fast ones.
     is_timed: bool,
     /// Average time of a request at an endpoint, waiting and the work factor excluded, in
     /// milliseconds. 0 before the first.
@@ -311,6 +318,7 @@
             own_requests: 0,
             other_requests: 0.0,
             reported_ms: 0,
+            has_queue: false,
             usual_requests: None,
             consecutive_failures: 0,
             paused_until_ms: 0,
@@ -732,21 +740,25 @@
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             let total = f64::from(load.running) + f64::from(load.waiting);
             let others = (total - f64::from(endpoint.own_requests)).max(0.0);
-            let usual = endpoint.usual_requests.unwrap_or(others);
-            let usual = usual + (others - usual) * USUAL_LOAD_WEIGHT;
+            // A report beyond any queue is an error, which must not count for long.
+            let slots = f64::from(endpoint.entry.slots);
+            let counted = others.min(slots * 2.0 * OVERLOAD_LOAD_PER_SLOT);
+            let usual = endpoint.usual_requests.unwrap_or(counted);
+            let usual = usual + (counted - usual) * USUAL_LOAD_WEIGHT;
             endpoint.usual_requests = Some(usual);
             endpoint.other_requests = others;
             endpoint.reported_ms = now_ms;
-            let slots = f64::from(endpoint.entry.slots);
+            endpoint.has_queue = load.waiting > 0;
             if let Some(placement) = self.placements.get_mut(&endpoint.entry.service) {
                 placement.usual_load +=
-                    (others / slots - placement.usual_load) * SERVICE_LOAD_WEIGHT;
+                    (counted / slots - placement.usual_load) * SERVICE_LOAD_WEIGHT;
             }
         }
     }
 
-    /// Takes the work factor that an endpoint reports along with its load. From the first one on,
-    /// the endpoints of its service are ranked by expected time.
+    /// Takes the work factor that an endpoint reports along with its load, if it does. From the
+    /// first one on, the endpoints of its service are ranked by expected time; where programs have
+    /// affinity, from the first load on.
     pub fn report_work_factor(
         &mut self,
         now_ms: u64,
@@ -766,7 +778,7 @@
                 .insert(service.clone(), ServicePlacement::default());
         }
         if let Some(placement) = self.placements.get_mut(service) {
-            placement.is_timed |= factor.is_some();
+            placement.is_timed |= factor.is_some() || self.has_program_affinity;
         }
     }
 
@@ -779,8 +791,8 @@
             return;
         };
         // How long a request waited is unknown. Estimates corrected by the load at the end made
-        // endpoints with growing queues look fast.
-        if endpoint.load(now_ms) > 1.0 {
+        // endpoints with growing queues look fast. The last report is that of the response.
+        if endpoint.has_queue {
             return;
         }
         let factor = endpoint.work_factor_at(now_ms);
@@ -990,19 +1002,16 @@
     }
 
     /// Estimated number of requests, running and waiting. Other than in `load`, those of other
-    /// instances return to their usual number and not to 0 once the report is old.
+    /// instances return to their usual number and not to 0 once the report is old, and slowly to
+    /// that of the service, so that an endpoint that was overloaded is tried again.
     fn expected_requests(&self, now_ms: u64, usual_load: f64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.reported_ms) as f64;
-        let weight = (-age_ms / OTHERS_HALF_LIFE_MS * std::f64::consts::LN_2).exp();
-        let slots = f64::from(self.entry.slots);
-        let usual = self
-            .usual_requests
-            .unwrap_or(slots * usual_load * UNKNOWN_LOAD_SHARE);
-        let weight = if self.usual_requests.is_some() {
-            weight
-        } else {
-            0.0
+        let typical = f64::from(self.entry.slots) * usual_load;
+        let Some(usual) = self.usual_requests else {
+            return f64::from(self.own_requests) + typical * UNKNOWN_LOAD_SHARE;
         };
+        let usual = typical + (usual - typical) * (-age_ms / USUAL_LOAD_DECAY_MS).exp();
+        let weight = (-age_ms / OTHERS_HALF_LIFE_MS * std::f64::consts::LN_2).exp();
         f64::from(self.own_requests) + usual + (self.other_requests - usual) * weight
     }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -35,6 +35,18 @@
     (pick.id, pick.reason)
 }
 
+/// Whether any random number leads to an endpoint.
+fn may_choose(balancer: &Balancer, now_ms: u64, id: &str) -> bool {
+    (0..20).any(|step| {
+        let request = PickRequest {
+            random: Some(f64::from(step) / 20.0),
+            ..PickRequest::new("engines", &[])
+        };
+        let pick = balancer.choose(now_ms, &request);
+        pick.expect("an endpoint").id == id
+    })
+}
+
 fn key_of(balancer: &Balancer, id: &str) -> EndpointKey {
     let all = balancer.choices(0, &PickRequest::new("engines", &[]));
     let mut tried: Vec<String> = Vec::new();
@@ -76,14 +88,14 @@
         sent += 1;
     }
     assert!(
-        (4..=6).contains(&sent),
+        (6..=8).contains(&sent),
         "{sent} requests more than at the others"
     );
     let (second, reason) = chosen(&balancer, 0, "p");
     assert_eq!(reason, PickReason::Affinity);
     for id in [&first, &second] {
         let key = key_of(&balancer, id);
-        (0..6).for_each(|_| balancer.begin(key));
+        (0..8).for_each(|_| balancer.begin(key));
     }
     assert_eq!(chosen(&balancer, 0, "p").1, PickReason::Score);
 }
@@ -217,6 +229,33 @@
     );
 }
 
+/// Scarce capacity without work factors, requests of different sizes, and endpoints of different
+/// speeds. Affinity must not send slow endpoints as many programs as fast ones.
+#[test]
+fn affinity_leaves_slow_endpoints_fewer_programs() {
+    let speeds = mixed_speeds(30);
+    let settings = ModelSettings {
+        speeds: speeds.clone(),
+        arrivals_per_s: 450.0,
+        slowed: 0.15,
+        varying: 0.7,
+        programs: 500,
+        same_instance: 0.5,
+        ..ModelSettings::default()
+    };
+    let before = FleetModel::new(&settings).run(20_000);
+    let settings = ModelSettings {
+        has_program_affinity: true,
+        ..settings
+    };
+    let after = FleetModel::new(&settings).run(20_000);
+    println!("affinity before {before:?}\naffinity after {after:?}");
+    let ratio = mean_count(&after, &speeds, 0.7) / mean_count(&after, &speeds, 1.7);
+    assert!(ratio > 1.7, "{ratio} times as many as slow ones");
+    assert!(after.p95_ms < before.p95_ms, "{before:?} {after:?}");
+    assert!(after.cached_share > 0.5, "{after:?}");
+}
+
 /// Three zones with waves of plus and minus 55 %, shifted against each other. A zone at its crest
 /// sends requests to others, at its trough it takes theirs. They must not go back and forth in
 /// between: two changes in 12 s follow from the waves.
@@ -244,8 +283,9 @@
     assert!((0.1..0.4).contains(&after.remote_share), "{after:?}");
     assert!(after.changes_per_s < 0.5, "{after:?}");
     assert!(after.p95_ms < before.p95_ms * 0.8, "{before:?} {after:?}");
+    // Without programs all requests count as one history.
     assert!(
-        after.cached_share >= before.cached_share,
+        programs == 0 || after.cached_share > before.cached_share * 2.0,
         "{before:?} {after:?}"
     );
 }
@@ -347,11 +387,45 @@
     );
 }
 
+/// An endpoint that was overloaded, or that once reported a load beyond any queue, gets no requests
+/// and so no new reports. It must be tried again.
+#[test_case(18)]
+#[test_case(u32::MAX)]
+fn overloaded_endpoint_is_tried_again(waiting: u32) {
+    let mut balancer = zone_of(&names(3), "a");
+    let full = key_of(&balancer, "engine-0");
+    let load = Load {
+        running: 6,
+        waiting,
+        slots: 6,
+    };
+    balancer.report_work_factor(0, full, Some(1.0));
+    for _ in 0..10 {
+        balancer.report(0, full, load);
+    }
+    assert!(!may_choose(&balancer, 1_000, "engine-0"));
+    let idle = Load {
+        running: 1,
+        waiting: 0,
+        slots: 6,
+    };
+    for name in ["engine-1", "engine-2"] {
+        let key = key_of(&balancer, name);
+        for now_ms in (1_000..40_000).step_by(100) {
+            balancer.report(now_ms, key, idle);
+        }
+    }
+    assert!(may_choose(&balancer, 60_000, "engine-0"));
+}
+
 /// A service whose endpoints report no work factor is ranked as before, whatever the random number
 /// is, and also if the endpoints of another service report one.
 #[test]
 fn service_without_work_factors_is_ranked_by_load() {
-    let mut balancer = zone_of(&names(4), "a");
+    let mut balancer = Balancer::new("a");
+    for name in names(4) {
+        balancer.upsert(entry(&name, "a", 6));
+    }
     balancer.upsert(EndpointEntry {
         service: "plain".to_string(),
         ..entry("other", "a", 6)
