Treat a response with a status above 599 as none

Cause: the HTTP parser rejects statuses below 100 and those without three digits, but accepts 600 to 999. Such a response was passed on as an answer if it carried the request's identifier, and one with Not-Executed told the caller that the request had not run.

Change: the outcome of such a send is unknown, nothing else that the response says is used, the endpoint is set aside like one that sends something other than responses, and its connection is closed.

--- a/crates/gateway/src/edge/exchange.rs
+++ b/crates/gateway/src/edge/exchange.rs
@@ -267,6 +267,9 @@
 
 /// Decides whether a response can be passed to the caller, and records the load, limit and failure
 /// that it reports. The request was sent at `sent_ms`.
+///
+/// Nothing that a response with an invalid status says is used, not even that the request has not
+/// run.
 fn check_response(
     edge: &Edge,
     pick: &Pick,
@@ -276,6 +279,15 @@
     mut connection: PooledConnection,
 ) -> Result<EndpointResponse, Outcome> {
     let (parts, body) = response.into_parts();
+    if !is_valid_status(parts.status) {
+        set_aside(edge, pick, "status");
+        return Err(edge.record_endpoint_failure(
+            pick,
+            outgoing,
+            Outcome::Unknown,
+            parts.status.as_str(),
+        ));
+    }
     let head = edge.protocol.decode_response_head(&parts.headers);
     if let Some(load) = head.load {
         let mut balancer = edge.balancer.borrow_mut();
@@ -336,7 +348,14 @@
     edge.balancer.borrow_mut().set_aside(now_ms(), pick.key);
 }
 
-/// Returns why a response must not be passed to the caller, or `None` if it may be.
+/// Whether HTTP defines the class of a status, which it does from 100 to 599 (RFC 9110, section
+/// 15). The parser rejects those below 100 and those that don't have three digits.
+fn is_valid_status(status: StatusCode) -> bool {
+    status.as_u16() < 600
+}
+
+/// Returns why a response must not be passed to the caller, or `None` if it may be. The status is
+/// valid.
 ///
 /// Endpoints repeat the request's identifier in each response. A response with another one, or
 /// with none, may be a late copy of the response to an earlier request on the connection,
