Hedge slow requests of entry instances

Cause: a request that meets an endpoint in a slow moment takes several times as long as the rest of its route, although other endpoints are free. The operators ask for a second send of idempotent requests that are slower than nearly all.

Change: crate jayreel-hedging, without I/O, decides when a request is slow (95th percentile of the time to first byte of its route), whether a second send is within the budget (a token bucket that sends fill), and which endpoint it goes to or why there is none. edge/hedge.rs makes the sends, passes on the first good response and drops the other send, which closes its connection. Plain requests and the start of streams use it. The hedged request counts as an attempt and takes a token of the customer's rate limit from the buffer. The balancer learns from a cancelled send that the endpoint is slow, which is no failure.

--- a/crates/core/src/args.rs
+++ b/crates/core/src/args.rs
@@ -96,6 +96,13 @@
 fn edge() -> Command {
     Command::new("edge")
         .about("Run an entry instance on the users' platform")
+        .arg(
+            Arg::new("options")
+                .long("options")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Options file in INI format, for features that are off by default"),
+        )
         .after_help("Settings come from the file that JAYREEL_NODE_FILE names.")
 }
 
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -16,6 +16,7 @@
 mod store_link;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::ArgMatches;
@@ -27,10 +28,13 @@
     let matches = args::command().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
-        Some(("edge", _)) => node::run(node::Role::Edge, None),
+        Some(("edge", matches)) => {
+            let options = matches.get_one::<PathBuf>("options");
+            node::run(node::Role::Edge, None, options.map(PathBuf::as_path))
+        }
         Some(("storage", matches)) => {
             let advertised = matches.get_one::<SocketAddr>("advertise").copied();
-            node::run(node::Role::Storage, advertised)
+            node::run(node::Role::Storage, advertised, None)
         }
         Some(("dev", matches)) => dev::run(matches),
         Some(("check", matches)) => return check(matches),
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,11 +1,13 @@
 //! `jayreel edge` and `jayreel storage`: run one instance on the users' platform.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 
 use eyre::WrapErr;
 use jayreel_gateway::{edge, storage};
 use jayreel_platform::{PlatformProtocol, PlatformStore};
+use jayreel_settings::EdgeOptions;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -21,13 +23,25 @@
 }
 
 /// Runs an instance until SIGTERM or SIGINT. `advertised` is the address that other instances
-/// connect to; without it, they use the listening address.
+/// connect to; without it, they use the listening address. `options` is the path of the options file
+/// of an entry instance.
 ///
 /// # Errors
 ///
 /// If the instance cannot start or fails. Invalid settings are printed instead, with exit code
 /// [`EXIT_USAGE`].
-pub(crate) fn run(role: Role, advertised: Option<SocketAddr>) -> eyre::Result<ExitCode> {
+pub(crate) fn run(
+    role: Role,
+    advertised: Option<SocketAddr>,
+    options: Option<&Path>,
+) -> eyre::Result<ExitCode> {
+    let options = match options.map(EdgeOptions::read).transpose() {
+        Ok(options) => options.unwrap_or_default(),
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::from(EXIT_USAGE));
+        }
+    };
     let mut settings = match jayreel_platform::read_settings() {
         Ok(settings) => settings,
         Err(error) => {
@@ -35,6 +49,7 @@
             return Ok(ExitCode::from(EXIT_USAGE));
         }
     };
+    settings.hedging = options.hedging;
     settings.advertised = advertised.unwrap_or(settings.advertised);
     logging::start_nonblocking(log::LevelFilter::Info, &settings.name)?;
     let runtime = Builder::new_current_thread()
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use jayreel_hedging::EndpointState;
 use jayreel_ledger::{EndpointLimit, EndpointRun};
 use slotmap::{SlotMap, new_key_type};
 
@@ -234,6 +235,32 @@
             .collect()
     }
 
+    /// All endpoints of a service that may be chosen, with what decides whether a request that was
+    /// sent to those in `tried` may be hedged there.
+    pub fn hedge_candidates(
+        &self,
+        now_ms: u64,
+        service: &str,
+        tried: &[String],
+    ) -> Vec<(Pick, EndpointState<'_>)> {
+        let scored = self.scored(now_ms, service, None, &[]);
+        let candidate = |(key, endpoint, score): (EndpointKey, &Endpoint, f64)| {
+            let pick = self.picked(now_ms, key, endpoint);
+            let state = EndpointState {
+                zone: &self.endpoints[key].entry.availability_zone,
+                score,
+                load_per_slot: endpoint.load(now_ms),
+                slowness: endpoint.slowness_at(now_ms),
+                error_rate: endpoint.error_rate_at(now_ms),
+                is_paused: endpoint.paused_until_ms > now_ms || endpoint.is_suspended,
+                needs_token: pick.needs_token,
+                is_tried: tried.contains(&pick.id),
+            };
+            (pick, state)
+        };
+        scored.map(candidate).collect()
+    }
+
     /// The endpoints that may be chosen, with their scores.
     fn scored<'a>(
         &'a self,
@@ -429,6 +456,24 @@
         }
     }
 
+    /// Records that a send was cancelled `elapsed_ms` after it began, because another endpoint had
+    /// responded. Its response would have taken at least that long. This is no failure.
+    pub fn record_cancelled(&mut self, now_ms: u64, key: EndpointKey, elapsed_ms: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let Some(average_ms) = self.service_latency_ms.get(&endpoint.entry.service)
+        else {
+            return;
+        };
+        let relative = (elapsed_ms as f64 / average_ms).min(10.0);
+        let slowness = endpoint.slowness_at(now_ms);
+        if relative > slowness {
+            endpoint.slowness = slowness + (relative - slowness) * LATENCY_WEIGHT;
+            endpoint.slowness_ms = now_ms;
+        }
+    }
+
     /// Records a successful response whose first byte arrived `elapsed_ms` after the request.
     pub fn succeed(&mut self, now_ms: u64, key: EndpointKey, elapsed_ms: u64) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -26,6 +26,7 @@
 use crate::edge::exchange::{
     EndpointResponse, OutgoingRequest, SendTimeouts, send, set_aside,
 };
+use crate::edge::hedge::{Answered, HedgedSend, SendProgress};
 use crate::edge::members::{ChainLookup, STORAGE_FULL_PAUSE_MS};
 use crate::edge::refusal::Refusal;
 use crate::edge::shutdown::Shutdown;
@@ -306,44 +307,33 @@
     loop {
         let pick = pick_endpoint(edge, admitted, &attempt, &tried).await?;
         tried.push(pick.id.clone());
-        let timeouts = admitted.send_timeouts(&attempt);
-        let sent_ms = now_ms();
-        let upstream = send(edge, &pick, &admitted.outgoing, None, timeouts).await;
-        let outcome = match upstream {
-            Ok(upstream) => match read_response(edge, admitted, upstream).await {
-                Ok(complete) => {
-                    let is_failure = complete.status().is_server_error();
-                    edge.record_endpoint_response(
-                        &pick,
-                        complete.status(),
-                        now_ms() - sent_ms,
-                    );
-                    if !is_failure || !may_try_another(admitted, attempt) {
-                        edge.record_response(admitted, &pick, complete.status());
-                        edge.record_duration(admitted, now_ms() - sent_ms);
-                        edge.clear_suspicion(&admitted.outgoing.fingerprints);
-                        return Ok(complete);
-                    }
-                    Outcome::Failed
-                }
-                Err(error) => {
-                    match error {
-                        CollectError::TooLong => set_aside(edge, &pick, "body"),
-                        CollectError::BrokenOff => {
-                            edge.record_lost_request(&pick, &admitted.outgoing);
-                        }
-                        CollectError::TimedOut | CollectError::OutOfMemory => {}
-                    }
-                    let outgoing = &admitted.outgoing;
-                    edge.record_endpoint_failure(
-                        &pick,
-                        outgoing,
-                        Outcome::Unknown,
-                        error.reason(),
-                    )
+        let hedged = HedgedSend {
+            edge,
+            admitted,
+            attempt: &mut attempt,
+            tried: &mut tried,
+            may_hedge: true,
+        };
+        let sent = hedged.run(pick, async |pick, timeouts, progress| {
+            send_plain(edge, admitted, pick, timeouts, progress).await
+        });
+        let (pick, outcome) = match sent.await {
+            Ok(Answered {
+                pick,
+                response,
+                elapsed_ms,
+            }) => {
+                let is_failure = response.status().is_server_error();
+                edge.record_endpoint_response(&pick, response.status(), elapsed_ms);
+                if !is_failure || !may_try_another(admitted, attempt) {
+                    edge.record_response(admitted, &pick, response.status());
+                    edge.record_duration(admitted, elapsed_ms);
+                    edge.clear_suspicion(&admitted.outgoing.fingerprints);
+                    return Ok(response);
                 }
-            },
-            Err(outcome) => outcome,
+                (pick, Outcome::Failed)
+            }
+            Err(failed) => failed,
         };
         match attempt.next(admitted.policy(), outcome) {
             Step::SendAgain => {
@@ -355,6 +345,28 @@
     }
 }
 
+/// Sends a request without streaming to one endpoint and reads the whole response.
+async fn send_plain(
+    edge: &Rc<Edge>,
+    admitted: &AdmittedCall,
+    pick: &Pick,
+    timeouts: SendTimeouts,
+    progress: &SendProgress,
+) -> Result<Response<CallBody>, Outcome> {
+    let outgoing = &admitted.outgoing;
+    let upstream = send(edge, pick, outgoing, None, timeouts).await?;
+    progress.record_head();
+    let response = read_response(edge, admitted, upstream).await;
+    response.map_err(|error| {
+        match error {
+            CollectError::TooLong => set_aside(edge, pick, "body"),
+            CollectError::BrokenOff => edge.record_lost_request(pick, outgoing),
+            CollectError::TimedOut | CollectError::OutOfMemory => {}
+        }
+        edge.record_endpoint_failure(pick, outgoing, Outcome::Unknown, error.reason())
+    })
+}
+
 /// Whether a 5xx response of an endpoint should be retried at another one.
 fn may_try_another(admitted: &AdmittedCall, mut attempt: Attempt) -> bool {
     attempt.next(admitted.policy(), Outcome::Failed) == Step::SendAgain
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod collect;
 mod crashes;
 mod exchange;
+mod hedge;
 mod limits;
 pub(crate) mod listen;
 mod members;
@@ -37,6 +38,7 @@
 use crate::edge::collect::BodyMemory;
 use crate::edge::crashes::LostRequests;
 use crate::edge::exchange::OutgoingRequest;
+use crate::edge::hedge::Hedger;
 use crate::edge::pool::Pool;
 use crate::edge::refusal::Refusal;
 use crate::edge::shutdown::Shutdown;
@@ -109,6 +111,8 @@
     pub durations: RefCell<Durations>,
     /// Limits the log lines for successful responses. Those beyond it are only counted.
     response_log_budget: RefCell<LineBudget>,
+    /// Decides on second sends of slow requests.
+    pub hedger: RefCell<Hedger>,
     pub metrics: Metrics,
 }
 
@@ -129,6 +133,7 @@
         let zone = settings.availability_zone.clone();
         let memory_mb = settings.limits.memory_mb;
         Edge {
+            hedger: RefCell::new(Hedger::new(settings.hedging)),
             settings,
             request_memory: Rc::new(BodyMemory::for_requests(memory_mb)),
             response_memory: Rc::new(BodyMemory::for_responses(memory_mb)),
@@ -277,6 +282,10 @@
         if count > 0 {
             log::info!("event=answered_summed count={count}");
         }
+        let count = self.hedger.borrow_mut().take_omitted_lines();
+        if count > 0 {
+            log::info!("event=hedges_summed count={count}");
+        }
     }
 
     /// Logs and counts a request that this instance refused. The log line contains the inputs of
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -19,6 +19,7 @@
 use crate::edge::call::{AdmittedCall, final_refusal, pick_endpoint};
 use crate::edge::collect::collect_response;
 use crate::edge::exchange::{EndpointResponse, PooledConnection, send};
+use crate::edge::hedge::{Answered, HedgedSend};
 use crate::edge::refusal::Refusal;
 use crate::edge::stream_memory::StreamMemory;
 use crate::events::{EventReader, StreamEvent};
@@ -142,33 +143,42 @@
         self.admitted.route.kind.may_run_again()
     }
 
-    /// Sends the request to endpoints until one begins a response.
-    async fn start(&mut self) -> Result<EndpointResponse, Refusal> {
+    /// Sends the request to endpoints until one begins a response. A send may be hedged only while
+    /// no part of a response has been passed on.
+    async fn start(&mut self, may_hedge: bool) -> Result<EndpointResponse, Refusal> {
         loop {
             let pick =
                 pick_endpoint(&self.edge, &self.admitted, &self.attempt, &self.tried)
                     .await?;
             self.tried.push(pick.id.clone());
-            self.current = Some(pick.clone());
-            let sent_ms = now_ms();
-            let timeouts = self.admitted.send_timeouts(&self.attempt);
-            let outgoing = &self.admitted.outgoing;
-            let upstream =
-                send(&self.edge, &pick, outgoing, self.last_event_id, timeouts).await;
-            let outcome = match upstream {
-                Ok(upstream) => {
-                    let elapsed_ms = now_ms() - sent_ms;
-                    self.edge.record_endpoint_response(
-                        &pick,
-                        upstream.status,
-                        elapsed_ms,
-                    );
-                    self.edge
-                        .record_response(&self.admitted, &pick, upstream.status);
-                    return Ok(upstream);
+            let (edge, admitted) = (&self.edge, &self.admitted);
+            let last_event_id = self.last_event_id;
+            let hedged = HedgedSend {
+                edge,
+                admitted,
+                attempt: &mut self.attempt,
+                tried: &mut self.tried,
+                may_hedge,
+            };
+            let sent = hedged.run(pick, async |pick, timeouts, progress| {
+                let outgoing = &admitted.outgoing;
+                let upstream = send(edge, pick, outgoing, last_event_id, timeouts);
+                upstream.await.inspect(|_| progress.record_head())
+            });
+            let (pick, outcome) = match sent.await {
+                Ok(Answered {
+                    pick,
+                    response,
+                    elapsed_ms,
+                }) => {
+                    edge.record_endpoint_response(&pick, response.status, elapsed_ms);
+                    edge.record_response(admitted, &pick, response.status);
+                    self.current = Some(pick);
+                    return Ok(response);
                 }
-                Err(outcome) => outcome,
+                Err(failed) => failed,
             };
+            self.current = Some(pick);
             match self.attempt.next(self.admitted.policy(), outcome) {
                 Step::SendAgain => self.wait_for_crash_check().await,
                 step => return Err(final_refusal(&self.admitted, step)),
@@ -304,7 +314,7 @@
 /// or the endpoint's stream has ended; until then an interruption can still become an error status.
 pub(crate) async fn run(mut call: StreamCall) -> Result<Response<CallBody>, Refusal> {
     loop {
-        let upstream = call.start().await?;
+        let upstream = call.start(true).await?;
         let mut stream = EndpointStream {
             body: upstream.body,
             connection: upstream.connection,
@@ -488,7 +498,7 @@
     }
     let restart = async {
         call.wait_for_crash_check().await;
-        call.start().await
+        call.start(false).await
     };
     let started = tokio::select! {
         started = restart => started,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 pub use endpoint_view::{EndpointRead, EndpointUpdate, EndpointView};
 pub use events::{EventReader, StreamEvent};
 pub use freshness::Freshness;
+pub use jayreel_hedging::HedgingSettings;
 pub use link::{LinkError, MemberClient, ResponseFuture};
 pub use log_queue::{LineBudget, LogQueue, MAX_QUEUED_LINES, batch_lines};
 pub use membership::{MemberMonitor, Proposal};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     refusals: IntCounterVec,
     failures: IntCounterVec,
     limited_sends: IntCounterVec,
+    hedges: IntCounterVec,
+    hedges_withheld: IntCounterVec,
     crashes: IntCounter,
     broken: IntGauge,
     open_connections: Rc<Cell<usize>>,
@@ -82,6 +84,16 @@
             "Requests for tokens of endpoints that limit the rate of requests, by outcome",
             &["outcome"],
         );
+        let hedges = counter(
+            "jayreel_hedges_total",
+            "Second sends of slow requests, by what became of them",
+            &["outcome"],
+        );
+        let hedges_withheld = counter(
+            "jayreel_hedges_withheld_total",
+            "Slow requests without a second send, by reason",
+            &["reason"],
+        );
         let crashes = IntCounter::new(
             "jayreel_endpoint_crashes_total",
             "Crashes of endpoints at which requests of this instance were lost",
@@ -90,12 +102,14 @@
         let broken = IntGauge::new("jayreel_streams_broken", "Streams broken off so far")
             .expect("the names of metrics are valid");
         let registry = Registry::new();
-        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(first_byte_s.clone()),
             Box::new(complete_s.clone()),
             Box::new(refusals.clone()),
             Box::new(failures.clone()),
             Box::new(limited_sends.clone()),
+            Box::new(hedges.clone()),
+            Box::new(hedges_withheld.clone()),
             Box::new(crashes.clone()),
             Box::new(broken.clone()),
         ];
@@ -111,6 +125,8 @@
             refusals,
             failures,
             limited_sends,
+            hedges,
+            hedges_withheld,
             crashes,
             broken,
             open_connections: Rc::default(),
@@ -146,6 +162,16 @@
         self.limited_sends.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a second send of a slow request as `sent`, and at its end as `won` or `wasted`.
+    pub(crate) fn hedge(&self, outcome: &str) {
+        self.hedges.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a slow request that is not sent a second time.
+    pub(crate) fn hedge_withheld(&self, reason: &str) {
+        self.hedges_withheld.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a crash of an endpoint at which requests of this instance were lost.
     pub(crate) fn endpoint_crashed(&self) {
         self.crashes.inc();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use jayreel_hedging::HedgingSettings;
 use jayreel_ledger::RateTolerance;
 
 /// Settings of one instance.
@@ -35,6 +36,8 @@
     pub limits: ProcessLimits,
     /// Guarantees given to operators and callers.
     pub bounds: Bounds,
+    /// Second sends of slow requests. Used by entry instances only.
+    pub hedging: HedgingSettings,
 }
 
 /// Resources that the process may use.
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -361,3 +361,54 @@
     }
     assert_eq!(reports, 3);
 }
+
+fn candidate_key(balancer: &Balancer, id: &str) -> EndpointKey {
+    let candidates = balancer.hedge_candidates(0, "engines", &[]);
+    let found = candidates.into_iter().find(|(pick, _)| pick.id == id);
+    found.expect("the endpoint is registered").0.key
+}
+
+// Guards against counting a cancelled send as a failure, and against an endpoint that stays
+// preferred although its responses are never waited for.
+#[test]
+fn cancelled_send_is_no_failure_but_tells_that_the_endpoint_is_slow() {
+    let mut balancer = balancer(&[("one", "a"), ("two", "a")]);
+    let [one, two] = ["one", "two"].map(|id| candidate_key(&balancer, id));
+    balancer.succeed(1_000, one, 50);
+    balancer.succeed(1_000, two, 50);
+    balancer.record_cancelled(1_100, one, 40);
+    let slowness = |balancer: &Balancer, id: &str| {
+        let candidates = balancer.hedge_candidates(1_200, "engines", &[]);
+        let found = candidates.into_iter().find(|(pick, _)| pick.id == id);
+        let (_, state) = found.expect("the endpoint is registered");
+        assert!(!state.is_paused);
+        assert_eq!(state.error_rate, 0.0);
+        state.slowness
+    };
+    assert_eq!(slowness(&balancer, "one"), 1.0, "it was not slow yet");
+    balancer.record_cancelled(1_100, one, 250);
+    assert!(slowness(&balancer, "one") > 1.5);
+    assert_eq!(slowness(&balancer, "two"), 1.0);
+    assert_eq!(picked(&balancer, 1_200), "two");
+}
+
+// Guards against a hedged request to an endpoint that gets no requests, and against one that was
+// tried or fails not being marked.
+#[test]
+fn hedge_candidates_are_those_that_may_be_chosen() {
+    let mut balancer = balancer(&[("one", "a"), ("two", "b"), ("leaving", "a")]);
+    let [two, leaving] = ["two", "leaving"].map(|id| candidate_key(&balancer, id));
+    balancer.mark_leaving(leaving);
+    balancer.begin(two);
+    balancer.fail(1_000, two);
+    let tried = ["one".to_string()];
+    let mut candidates = balancer.hedge_candidates(1_000, "engines", &tried);
+    candidates.sort_by(|(a, _), (b, _)| a.id.cmp(&b.id));
+    let [(_, one), (_, two)] = &candidates[..] else {
+        panic!("{candidates:?}");
+    };
+    assert!(one.is_tried && !one.is_paused);
+    assert_eq!((one.zone, one.load_per_slot), ("a", 0.0));
+    assert!(!two.is_tried && two.is_paused && two.error_rate > 0.0);
+    assert_eq!((two.zone, two.load_per_slot), ("b", 1.0 / 12.0));
+}
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -57,6 +57,19 @@
         });
     }
 
+    /// Reports sections that are not in `known` and have no keys. The keys of others are reported
+    /// at the end.
+    pub(crate) fn check_sections(&mut self, known: &[&str]) {
+        let sections = self.raw.sections.iter();
+        let unknown: Vec<String> = sections
+            .filter(|(name, keys)| keys.is_empty() && !known.contains(&name.as_str()))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for section in unknown {
+            self.add_problem(&section, "", "is not a known section");
+        }
+    }
+
     /// Removes the text of a key, and its section once that is empty. `None` if the key
     /// is not set.
     fn take(&mut self, section: &str, key: &str) -> Option<String> {
@@ -114,6 +127,28 @@
         }
     }
 
+    /// Reads a number from `min` to `max`, inclusive, or `default` if the key is not set.
+    pub(crate) fn decimal(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: f64,
+        min: f64,
+        max: f64,
+    ) -> f64 {
+        let Some(text) = self.take(section, key) else {
+            return default;
+        };
+        match text.parse::<f64>() {
+            Ok(number) if (min..=max).contains(&number) => number,
+            _ => {
+                let message = format!("must be a number from {min} to {max}");
+                self.add_problem(section, key, message);
+                default
+            }
+        }
+    }
+
     /// Reads an `IP:PORT`, or parses `default` if the key is not set.
     pub(crate) fn address(
         &mut self,
