Add jayreel explain

Cause: operators could not see why a request goes to an endpoint, or to none, other than from log lines after the fact.

Change: an entry instance answers GET /explain on its metrics address with the route, the customer, and the endpoints of each service in the order in which they would be chosen, with what excludes or avoids them. It reads state only. 'jayreel explain' prints the answer as text or JSON. Metrics are served at all other paths as before.

--- a/crates/core/src/args.rs
+++ b/crates/core/src/args.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use clap::builder::PossibleValuesParser;
+use clap::builder::{NonEmptyStringValueParser, PossibleValuesParser};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
 
@@ -26,6 +26,7 @@
         .subcommand(serve())
         .subcommand(edge())
         .subcommand(storage())
+        .subcommand(explain())
         .subcommand(check())
         .subcommand(dev())
         .subcommand(profile())
@@ -122,6 +123,31 @@
         .after_help("Settings come from the file that JAYREEL_NODE_FILE names.")
 }
 
+fn explain() -> Command {
+    let text = |name: &'static str, help: &'static str| {
+        text_option(name, help).value_parser(NonEmptyStringValueParser::new())
+    };
+    Command::new("explain")
+        .about("Show where an entry instance on the users' platform would route a request")
+        .long_about(
+            "Show where an entry instance on the users' platform would route a request now, \
+             and why: route, customer, and the endpoints in the order in which they would be \
+             chosen. Nothing is sent, and nothing changes.",
+        )
+        .arg(
+            Arg::new("instance")
+                .long("instance")
+                .value_name("ADDRESS")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Metrics address of the instance, such as 10.0.0.1:9464"),
+        )
+        .arg(text("host", "Host that the request names").required(true))
+        .arg(text("path", "Path of the request").required(true))
+        .arg(text("customer", "Name of the customer"))
+        .arg(text("program", "Identifier of the program"))
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Check a settings file and print each fault with section and key")
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod dev;
 mod engine_link;
+mod explain;
 mod instance;
 mod logging;
 mod node;
@@ -36,6 +37,7 @@
             let advertised = matches.get_one::<SocketAddr>("advertise").copied();
             node::run(node::Role::Storage, advertised, None)
         }
+        Some(("explain", sub)) => explain::run(sub, matches.get_flag("json")),
         Some(("dev", matches)) => dev::run(matches),
         Some(("check", matches)) => return check(matches),
         Some(("completions", matches)) => completions(matches),
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,6 +6,8 @@
 //! as of the last report. The second part decays exponentially with the age of the report,
 //! since nothing is known about how those requests went on.
 
+mod explain;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -17,6 +19,8 @@
 use crate::limit_view::LimitView;
 use crate::protocol::Load;
 
+pub use explain::ExplainedEndpoint;
+
 new_key_type! {
     /// Identifies one run of an endpoint. A restarted endpoint gets a new key.
     pub struct EndpointKey;
--- a/crates/gateway/src/edge/listen.rs
+++ b/crates/gateway/src/edge/listen.rs
@@ -9,10 +9,11 @@
 use bytes::Bytes;
 use eyre::{OptionExt, WrapErr};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,6 +21,7 @@
 
 use crate::clock::{now_ms, pause};
 use crate::directory::MetadataStore;
+use crate::edge::explain::{self, EXPLAIN_PATH};
 use crate::edge::{Edge, call, sync};
 use crate::http_connection::set_caller_timeouts;
 use crate::protocol::CallProtocol;
@@ -78,7 +80,11 @@
         tokio::task::spawn_local(accept_calls(Rc::clone(&edge), front, stage));
     tokio::task::spawn_local(serve_readiness(Rc::clone(&edge), ready));
     let for_metrics = Rc::clone(&edge);
-    tokio::task::spawn_local(serve_text(metrics, move || for_metrics.metrics.text()));
+    let report = move |uri: &Uri| match uri.path() {
+        EXPLAIN_PATH => explain::respond(&for_metrics, uri),
+        _ => (StatusCode::OK, for_metrics.metrics.text()),
+    };
+    tokio::task::spawn_local(serve_text(metrics, report));
     wait_for_shutdown_signal().await?;
     let began_ms = now_ms();
     log::info!("event=stopping calls={}", edge.metrics.open_calls());
@@ -253,17 +259,20 @@
     }
 }
 
-/// Responds to every request with the current result of `text`. Used for metrics.
+/// Responds to every request with the current result of `report` for its target. Used for metrics.
 pub(crate) async fn serve_text(
     listener: TcpListener,
-    text: impl Fn() -> String + 'static,
+    report: impl Fn(&Uri) -> (StatusCode, String) + 'static,
 ) {
-    let text = Rc::new(text);
+    let report = Rc::new(report);
     loop {
         let stream = accept(&listener).await;
-        let text = Rc::clone(&text);
+        let report = Rc::clone(&report);
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |_| text_response(StatusCode::OK, text()));
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (status, text) = report(request.uri());
+                text_response(status, text)
+            });
             serve_http1(stream, service).await;
         });
     }
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod collect;
 mod crashes;
 mod exchange;
+mod explain;
 mod hedge;
 mod limits;
 pub(crate) mod listen;
@@ -54,6 +55,9 @@
 use crate::suspect_table::SuspectTable;
 use crate::turn_cache::TurnCache;
 
+pub use explain::{
+    EXPLAIN_PATH, ExplainedCustomer, ExplainedRoute, ExplainedService, Explanation,
+};
 pub use listen::run;
 pub use members::{ChainLookup, Members, NoQuorum};
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,7 +44,7 @@
 mod urgency;
 
 pub use backoff::Backoff;
-pub use balance::{Balancer, EndpointKey, Pick};
+pub use balance::{Balancer, EndpointKey, ExplainedEndpoint, Pick};
 pub use clock::now_ms;
 pub use config::{
     CallKind, Configuration, Customer, Engine, Limits, Route, Service, ServiceShare,
--- a/crates/gateway/src/storage/serve.rs
+++ b/crates/gateway/src/storage/serve.rs
@@ -6,6 +6,7 @@
 
 use eyre::{OptionExt, ensure};
 use futures::StreamExt;
+use hyper::{StatusCode, Uri};
 use jayreel_ledger::{
     FrameLocation, Member, MemberResponse, Reply, TurnDigest, TurnRecord,
 };
@@ -119,7 +120,8 @@
     maintenance::start(&process);
     let disk_failed = tokio::task::spawn_local(follow_disk(Rc::clone(&process), synced));
     let for_metrics = Rc::clone(&process);
-    tokio::task::spawn_local(serve_text(metrics, move || for_metrics.metrics_text()));
+    let report = move |_: &Uri| (StatusCode::OK, for_metrics.metrics_text());
+    tokio::task::spawn_local(serve_text(metrics, report));
     let for_connections = Rc::clone(&process);
     tokio::task::spawn_local(async move {
         loop {
