--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod dev;
 mod engine_link;
+mod explain;
 mod instance;
 mod logging;
 mod node;
@@ -16,6 +17,7 @@
 mod store_link;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::ArgMatches;
@@ -27,11 +29,15 @@
     let matches = args::command().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
-        Some(("edge", _)) => node::run(node::Role::Edge, None),
+        Some(("edge", matches)) => {
+            let options = matches.get_one::<PathBuf>("options");
+            node::run(node::Role::Edge, None, options.map(PathBuf::as_path))
+        }
         Some(("storage", matches)) => {
             let advertised = matches.get_one::<SocketAddr>("advertise").copied();
-            node::run(node::Role::Storage, advertised)
+            node::run(node::Role::Storage, advertised, None)
         }
+        Some(("explain", sub)) => explain::run(sub, matches.get_flag("json")),
         Some(("dev", matches)) => dev::run(matches),
         Some(("check", matches)) => return check(matches),
         Some(("completions", matches)) => completions(matches),
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,11 +6,14 @@
 //! as of the last report. The second part decays exponentially with the age of the report,
 //! since nothing is known about how those requests went on.
 
+mod explain;
+
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use jayreel_admission::EndpointLoad;
+use jayreel_hedging::EndpointState;
 use jayreel_ledger::{EndpointLimit, EndpointRun};
 use jayreel_placement::{
     AffinityKey, Candidates, EndpointHash, HeldHistory, Overflow, SpeedEstimate,
@@ -25,6 +28,8 @@
 use crate::protocol::Load;
 use crate::zone_state::{ZoneChange, ZoneStates};
 
+pub use explain::ExplainedEndpoint;
+
 new_key_type! {
     /// Identifies one run of an endpoint. A restarted endpoint gets a new key.
     pub struct EndpointKey;
@@ -442,6 +447,33 @@
         scored.map(|scored| self.picked(now_ms, scored)).collect()
     }
 
+    /// All endpoints of a service that may be chosen, with what decides whether a request that was
+    /// sent to those in `tried` may be hedged there.
+    pub fn hedge_candidates<'a>(
+        &self,
+        now_ms: u64,
+        target: impl Into<Target<'a>>,
+        tried: &[String],
+    ) -> Vec<(Pick, EndpointState<'_>)> {
+        let scored = self.scored(now_ms, &PickRequest::new(target, &[]));
+        let candidate = |scored: &Scored<'_>| {
+            let endpoint = &self.endpoints[scored.key];
+            let pick = self.picked(now_ms, scored);
+            let state = EndpointState {
+                zone: &endpoint.entry.availability_zone,
+                score: scored.score,
+                load_per_slot: endpoint.load(now_ms),
+                slowness: endpoint.slowness_at(now_ms),
+                error_rate: endpoint.error_rate_at(now_ms),
+                is_paused: endpoint.paused_until_ms > now_ms || endpoint.is_suspended,
+                needs_token: pick.needs_token,
+                is_tried: tried.contains(&pick.id),
+            };
+            (pick, state)
+        };
+        scored.iter().map(candidate).collect()
+    }
+
     /// The state of a service whose endpoints are ranked by expected time.
     fn timed(&self, service: &str) -> Option<&ServicePlacement> {
         let placement = self.placements.get(service);
@@ -862,6 +894,24 @@
         }
     }
 
+    /// Records that a send was cancelled `elapsed_ms` after it began, because another endpoint had
+    /// responded. Its response would have taken at least that long. This is no failure.
+    pub fn record_cancelled(&mut self, now_ms: u64, key: EndpointKey, elapsed_ms: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let Some(average_ms) = self.service_latency_ms.get(&endpoint.entry.service)
+        else {
+            return;
+        };
+        let relative = (elapsed_ms as f64 / average_ms).min(10.0);
+        let slowness = endpoint.slowness_at(now_ms);
+        if relative > slowness {
+            endpoint.slowness = slowness + (relative - slowness) * LATENCY_WEIGHT;
+            endpoint.slowness_ms = now_ms;
+        }
+    }
+
     /// Records a successful response whose first byte arrived `elapsed_ms` after the request.
     pub fn succeed(&mut self, now_ms: u64, key: EndpointKey, elapsed_ms: u64) {
         let Some(endpoint) = self.endpoints.get_mut(key) else {
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -9,6 +9,8 @@
 mod collect;
 mod crashes;
 mod exchange;
+mod explain;
+mod hedge;
 mod limits;
 pub(crate) mod listen;
 mod members;
@@ -40,6 +42,7 @@
 use crate::edge::collect::BodyMemory;
 use crate::edge::crashes::LostRequests;
 use crate::edge::exchange::OutgoingRequest;
+use crate::edge::hedge::Hedger;
 use crate::edge::pool::Pool;
 use crate::edge::program_admission::ProgramGate;
 use crate::edge::refusal::Refusal;
@@ -57,6 +60,9 @@
 use crate::suspect_table::SuspectTable;
 use crate::turn_cache::TurnCache;
 
+pub use explain::{
+    EXPLAIN_PATH, ExplainedCustomer, ExplainedRoute, ExplainedService, Explanation,
+};
 pub use listen::run;
 pub use members::{ChainLookup, Members, NoQuorum};
 
@@ -118,6 +124,8 @@
     program_gate: Option<RefCell<ProgramGate>>,
     /// Limits the log lines for successful responses. Those beyond it are only counted.
     response_log_budget: RefCell<LineBudget>,
+    /// Decides on second sends of slow requests.
+    pub hedger: RefCell<Hedger>,
     pub metrics: Metrics,
 }
 
@@ -147,6 +155,7 @@
             .then(|| RefCell::new(ProgramGate::new(now_ms())));
         Edge {
             program_gate,
+            hedger: RefCell::new(Hedger::new(settings.hedging)),
             settings,
             request_memory: Rc::new(BodyMemory::for_requests(memory_mb)),
             response_memory: Rc::new(BodyMemory::for_responses(memory_mb)),
@@ -295,6 +304,10 @@
         if count > 0 {
             log::info!("event=answered_summed count={count}");
         }
+        let count = self.hedger.borrow_mut().take_omitted_lines();
+        if count > 0 {
+            log::info!("event=hedges_summed count={count}");
+        }
     }
 
     /// Logs and counts a request that this instance refused. The log line contains the inputs of
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,9 @@
 mod zone_state;
 
 pub use backoff::Backoff;
-pub use balance::{Balancer, EndpointKey, MemoryBound, Pick, PickReason, PickRequest};
+pub use balance::{
+    Balancer, EndpointKey, ExplainedEndpoint, MemoryBound, Pick, PickReason, PickRequest,
+};
 pub use clock::now_ms;
 pub use config::{
     CallKind, Configuration, Customer, Engine, Limits, Route, Service, ServiceShare,
@@ -64,6 +66,7 @@
 pub use events::{EventReader, StreamEvent};
 pub use freshness::Freshness;
 pub use home_regions::{HomeZones, Target, ZoneRegions};
+pub use jayreel_hedging::HedgingSettings;
 pub use link::{LinkError, MemberClient, ResponseFuture};
 pub use log_queue::{LineBudget, LogQueue, MAX_QUEUED_LINES, batch_lines};
 pub use membership::{MemberMonitor, Proposal};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     limited_sends: IntCounterVec,
     placements: IntCounterVec,
     cold_sends: IntCounterVec,
+    hedges: IntCounterVec,
+    hedges_withheld: IntCounterVec,
     crashes: IntCounter,
     broken: IntGauge,
     evacuated_zones: IntGauge,
@@ -103,6 +105,16 @@
             "Requests for tokens of cold endpoints, by outcome",
             &["outcome"],
         );
+        let hedges = counter(
+            "jayreel_hedges_total",
+            "Second sends of slow requests, by what became of them",
+            &["outcome"],
+        );
+        let hedges_withheld = counter(
+            "jayreel_hedges_withheld_total",
+            "Slow requests without a second send, by reason",
+            &["reason"],
+        );
         let crashes = IntCounter::new(
             "jayreel_endpoint_crashes_total",
             "Crashes of endpoints at which requests of this instance were lost",
@@ -139,6 +151,8 @@
             Box::new(limited_sends.clone()),
             Box::new(placements.clone()),
             Box::new(cold_sends.clone()),
+            Box::new(hedges.clone()),
+            Box::new(hedges_withheld.clone()),
             Box::new(crashes.clone()),
             Box::new(broken.clone()),
             Box::new(evacuated_zones.clone()),
@@ -160,6 +174,8 @@
             limited_sends,
             placements,
             cold_sends,
+            hedges,
+            hedges_withheld,
             crashes,
             broken,
             evacuated_zones,
@@ -232,6 +248,16 @@
         self.cold_sends.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a second send of a slow request as `sent`, and at its end as `won` or `wasted`.
+    pub(crate) fn hedge(&self, outcome: &str) {
+        self.hedges.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a slow request that is not sent a second time.
+    pub(crate) fn hedge_withheld(&self, reason: &str) {
+        self.hedges_withheld.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a crash of an endpoint at which requests of this instance were lost.
     pub(crate) fn endpoint_crashed(&self) {
         self.crashes.inc();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use jayreel_hedging::HedgingSettings;
 use jayreel_ledger::{ColdTolerance, RateTolerance};
 
 use crate::home_regions::ZoneRegions;
@@ -39,6 +40,8 @@
     pub limits: ProcessLimits,
     /// Guarantees given to operators and callers.
     pub bounds: Bounds,
+    /// Second sends of slow requests. Used by entry instances only.
+    pub hedging: HedgingSettings,
     /// What the installation needs beyond the basic service.
     pub features: Features,
 }
