Cut customers by max-min fairness, and count kinds by rank

Cause: a customer's fair share was its weight's part of the demand over all customers seen, so that customers who send nothing any more made the others count as above their share. A route changed its rank with each customer that has a priority of its own.

Change: fair shares are those of max-min fairness over half of the demand; a customer may exceed its own twofold and by half a program. It is cut the more the more programs must be rejected. Kinds are pairs of route and rank.

--- a/crates/admission/src/work.rs
+++ b/crates/admission/src/work.rs
@@ -14,17 +14,26 @@
 /// Number of kinds that are counted, with the same rule.
 const MAX_KINDS: usize = 64;
 
-/// Number of programs that are assumed to have been divided among the customers in proportion to
-/// their weights. An instance sees few programs of each customer, and a customer must not count as
-/// above its share because of a single one.
-const PRIOR_PROGRAMS: f64 = 8.0;
+/// Part of the whole demand that fair shares add up to. With more, a customer with a third of the
+/// demand of twelve customers is hardly above its fair share.
+const FAIR_PART: f64 = 0.5;
 
-/// A customer is above its fair share if its demand exceeds it by this factor.
-const SHARE_TOLERANCE: f64 = 1.3;
+/// A customer is above its fair share if its demand exceeds it by this factor, and by a part of a
+/// program. Customers with the same demand per weight are never above it.
+const SHARE_TOLERANCE: f64 = 2.0;
 
-/// Exponent of the part that a customer above its fair share keeps. Its demand lasts while it is
-/// rejected, so that cutting it just to its share leaves most of the rejections to the others.
-const EXCESS_EXPONENT: i32 = 3;
+/// Number of programs by which each customer may exceed its fair share in addition. An instance
+/// sees few programs of each customer.
+const TOLERATED_PROGRAMS: f64 = 0.5;
+
+/// Exponent of the part that a customer above its fair share keeps, once `FULL_CUT` of all programs
+/// are rejected; proportionally less before. Its demand lasts while it is rejected, so that cutting
+/// it just to its share leaves most of the rejections to the others: with an exponent of 3, others
+/// lost more programs in the model of `tests/model`.
+const EXCESS_EXPONENT: f64 = 6.0;
+
+/// Part of all programs that must be rejected for a full cut of the customers above their share.
+const FULL_CUT: f64 = 0.3;
 
 /// Part of the programs of each kind that is always admitted, relative to the share of all
 /// programs. The less urgent kind would otherwise get nothing in a burst of the urgent one.
@@ -73,8 +82,10 @@
     demand_tokens: Decaying,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct KindWork {
+    name: String,
+    /// Two customers may have different ranks on the same route. They are then of two kinds.
     rank: u8,
     /// New programs, admitted or not. Retries don't count.
     programs: Decaying,
@@ -85,6 +96,10 @@
 }
 
 impl KindWork {
+    fn is_of(&self, claimant: &Claimant<'_>) -> bool {
+        self.rank == claimant.rank && self.name == claimant.kind
+    }
+
     /// Expected tokens of all turns of one program.
     fn program_tokens(&self, now_ms: u64) -> f64 {
         let programs = self.admitted.at(now_ms).max(1.0);
@@ -115,7 +130,7 @@
     /// At most [`MAX_CUSTOMERS`].
     customers: HashMap<String, CustomerWork>,
     /// At most [`MAX_KINDS`].
-    kinds: HashMap<String, KindWork>,
+    kinds: Vec<KindWork>,
 }
 
 impl WorkCounters {
@@ -155,9 +170,9 @@
 
     /// Which part of a customer's new programs of one kind is admitted, if `share` of all are.
     ///
-    /// First, customers above their fair share are cut. A customer's fair share is its weight's
-    /// part of the whole demand; what it leaves unused goes to the others, since nobody is cut
-    /// while `share` is 1. What must still be rejected comes from the less urgent kinds first.
+    /// First, customers above their fair share are cut. Fair shares are those of max-min fairness
+    /// with weights: what a customer leaves unused goes to the others. What must still be rejected
+    /// comes from the less urgent kinds first.
     pub fn shares(&self, now_ms: u64, claimant: &Claimant<'_>, share: f64) -> Shares {
         if share >= 1.0 {
             return Shares::ALL;
@@ -177,21 +192,21 @@
         claimant: &Claimant<'_>,
         share: f64,
     ) -> (f64, f64) {
-        let kind = self.kinds.get(claimant.kind).copied().unwrap_or_default();
-        let prior_tokens = PRIOR_PROGRAMS * kind.program_tokens(now_ms);
-        let total_weight: f64 = self.customers.values().map(|work| work.weight).sum();
-        let demand = |work: &CustomerWork| {
-            work.demand_tokens.at(now_ms) + prior_tokens * work.weight / total_weight
-        };
+        let tokens: f64 = self.kinds.iter().map(|kind| kind.tokens.at(now_ms)).sum();
+        let admitted: f64 = self.kinds.iter().map(|kind| kind.admitted.at(now_ms)).sum();
+        let tolerated_tokens = TOLERATED_PROGRAMS * tokens / admitted.max(1.0);
+        let demand = |work: &CustomerWork| work.demand_tokens.at(now_ms);
         let total: f64 = self.customers.values().map(demand).sum();
-        let bound_per_weight = SHARE_TOLERANCE * total / total_weight;
-        let excess = |work: &CustomerWork| {
-            (demand(work) - bound_per_weight * work.weight).max(0.0)
+        let level = self.fair_level(now_ms, FAIR_PART * total);
+        let bound = |work: &CustomerWork| {
+            SHARE_TOLERANCE * level * work.weight + tolerated_tokens
         };
+        let excess = |work: &CustomerWork| (demand(work) - bound(work)).max(0.0);
         let total_excess: f64 = self.customers.values().map(excess).sum();
         let own = self.customers.get(claimant.customer);
-        let own_excess = own.map_or(0.0, |own| excess(own) / demand(own));
-        let kept = (1.0 - own_excess).powi(EXCESS_EXPONENT);
+        let own_excess = own.map_or(0.0, |own| excess(own) / demand(own).max(1.0));
+        let exponent = EXCESS_EXPONENT * ((1.0 - share) / FULL_CUT).min(1.0);
+        let kept = (1.0 - own_excess).powf(exponent);
         let to_reject = (1.0 - share) * total;
         match total_excess >= to_reject {
             true => (kept, 1.0),
@@ -199,6 +214,29 @@
         }
     }
 
+    /// Tokens per weight to which demands must be cut for their sum to be `room_tokens`.
+    fn fair_level(&self, now_ms: u64, room_tokens: f64) -> f64 {
+        let mut demands: Vec<(f64, f64)> = self
+            .customers
+            .values()
+            .map(|work| (work.demand_tokens.at(now_ms) / work.weight, work.weight))
+            .collect();
+        demands.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let mut room_tokens = room_tokens;
+        let mut weight_left: f64 = demands.iter().map(|(_, weight)| weight).sum();
+        for (per_weight, weight) in demands {
+            if per_weight * weight_left >= room_tokens {
+                break;
+            }
+            room_tokens -= per_weight * weight;
+            weight_left -= weight;
+        }
+        match weight_left > 0.0 {
+            true => room_tokens.max(0.0) / weight_left,
+            false => 0.0,
+        }
+    }
+
     /// The part that a kind keeps if `share` of the work of all kinds is admitted: the less urgent
     /// kinds make room first, but each keeps a minimum.
     fn kind_share(&self, now_ms: u64, claimant: &Claimant<'_>, share: f64) -> f64 {
@@ -206,7 +244,7 @@
             return 1.0;
         }
         let (mut more_urgent, mut same, mut less_urgent) = (0.0, 0.0, 0.0);
-        for kind in self.kinds.values() {
+        for kind in &self.kinds {
             let work = kind.programs.at(now_ms) * kind.program_tokens(now_ms);
             match kind.rank.cmp(&claimant.rank) {
                 Ordering::Less => more_urgent += work,
@@ -243,13 +281,23 @@
     }
 
     fn kind(&mut self, now_ms: u64, claimant: &Claimant<'_>) -> &mut KindWork {
-        let is_known = self.kinds.contains_key(claimant.kind);
-        if !is_known && self.kinds.len() >= MAX_KINDS {
-            forget_least(&mut self.kinds, |kind| kind.programs.at(now_ms));
-        }
-        let kind = entry(&mut self.kinds, claimant.kind);
-        kind.rank = claimant.rank;
-        kind
+        let known = self.kinds.iter().position(|kind| kind.is_of(claimant));
+        let index = known.unwrap_or_else(|| {
+            if self.kinds.len() >= MAX_KINDS {
+                let work = |kind: &KindWork| kind.programs.at(now_ms);
+                let least = (0..self.kinds.len()).min_by(|a, b| {
+                    work(&self.kinds[*a]).total_cmp(&work(&self.kinds[*b]))
+                });
+                least.map(|index| self.kinds.swap_remove(index));
+            }
+            self.kinds.push(KindWork {
+                name: claimant.kind.to_string(),
+                rank: claimant.rank,
+                ..KindWork::default()
+            });
+            self.kinds.len() - 1
+        });
+        &mut self.kinds[index]
     }
 }
 
--- a/crates/admission/tests/decision.rs
+++ b/crates/admission/tests/decision.rs
@@ -260,6 +260,45 @@
     assert_eq!((other.of_customer, other.of_kind), (1.0, 1.0));
 }
 
+/// Guards against customers that count as above their share because of many others that send
+/// nothing any more.
+#[test]
+fn what_customers_leave_unused_goes_to_the_others() {
+    let mut work = WorkCounters::default();
+    let mut count = |now_ms: u64, customer: &str| {
+        let claimant = claimant(customer, "route", 0);
+        work.record_program(now_ms, &claimant);
+        work.record_admission(now_ms, &claimant, false);
+        work.record_turn(now_ms, &claimant, 100);
+    };
+    for index in 0..200_u64 {
+        count(index, &format!("idle-{index}"));
+    }
+    for step in 0..300_u64 {
+        count(20_000 + step * 20, &format!("customer-{}", step % 10));
+    }
+    for index in 0..10 {
+        let customer = format!("customer-{index}");
+        let shares = work.shares(26_000, &claimant(&customer, "route", 0), 0.7);
+        assert!(shares.of_customer > 0.95, "{shares:?}");
+    }
+}
+
+/// Guards against a customer that is cut because of its second program.
+#[test]
+fn a_few_programs_are_within_each_customers_share() {
+    let mut work = WorkCounters::default();
+    for index in 0..40_u64 {
+        let customer = format!("customer-{index}");
+        let claimant = claimant(&customer, "route", 0);
+        work.record_program(index * 100, &claimant);
+        work.record_admission(index * 100, &claimant, false);
+        work.record_turn(index * 100, &claimant, 100);
+    }
+    let last = claimant("customer-39", "route", 0);
+    assert_eq!(work.shares(4_000, &last, 0.5).of_customer, 1.0);
+}
+
 /// Guards against the rejection of a large customer that sends what it has agreed.
 #[test]
 fn a_customer_with_more_weight_has_a_larger_share() {
@@ -297,6 +336,22 @@
     assert!(of_kind(&urgent, 0.3) > of_kind(&other, 0.3));
 }
 
+/// Guards against a route that counts as urgent or not by whoever sent its last turn.
+#[test]
+fn customers_with_different_ranks_on_one_route_are_of_two_kinds() {
+    let mut work = WorkCounters::default();
+    let (urgent, other) = (claimant("one", "route", 0), claimant("two", "route", 1));
+    for step in 0..100_u64 {
+        for claimant in [urgent, other] {
+            work.record_program(step * 20, &claimant);
+            work.record_admission(step * 20, &claimant, false);
+            work.record_turn(step * 20, &claimant, 100);
+        }
+    }
+    let of_kind = |claimant| work.shares(2_000, claimant, 0.8).of_kind;
+    assert!(of_kind(&urgent) > of_kind(&other) + 0.2);
+}
+
 #[test]
 fn weights_that_are_not_positive_numbers_are_ignored() {
     let mut work = WorkCounters::default();
