--- a/crates/gateway/src/edge/program_admission.rs
+++ b/crates/gateway/src/edge/program_admission.rs
@@ -58,15 +58,11 @@
         state: &ServiceState,
         decision: &Decision,
     ) {
-        if self.logged.len() >= MAX_LOGGED_SERVICES {
+        let is_known = self.logged.contains_key(service);
+        if !is_known && self.logged.len() >= MAX_LOGGED_SERVICES {
             self.logged.clear();
         }
-        if !self.logged.contains_key(service) {
-            self.logged.insert(service.to_string(), LogState::default());
-        }
-        let Some(logged) = self.logged.get_mut(service) else {
-            return;
-        };
+        let logged = self.logged.entry(service.to_string()).or_default();
         match decision {
             Decision::Admit { is_new } => logged.admitted += u32::from(*is_new),
             Decision::Reject(_) => logged.rejected += 1,
