--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -4,7 +4,7 @@
 
 use crate::pressure::{EndpointLoad, Pressure};
 use crate::programs::{ProgramKey, ProgramState, SeenPrograms};
-use crate::share::ShareControl;
+use crate::share::{DEFAULT_BOUND_TURNS, ShareControl};
 use crate::work::{Claimant, WorkCounters};
 
 /// Time after the start of an instance in which it admits everything, in milliseconds. It does
@@ -90,6 +90,7 @@
 /// Admission of programs at one instance.
 #[derive(Debug)]
 pub struct ProgramAdmission {
+    bound_turns: f64,
     started_ms: u64,
     /// At most [`MAX_SERVICES`].
     services: HashMap<String, ServiceControl>,
@@ -97,9 +98,15 @@
 }
 
 impl ProgramAdmission {
-    /// The state of an instance that has just started.
+    /// The state of an instance that has just started, with the default bound.
     pub fn new(now_ms: u64) -> ProgramAdmission {
+        ProgramAdmission::with_bound(now_ms, DEFAULT_BOUND_TURNS)
+    }
+
+    /// The same, but rejects new programs above a queueing time of `bound_turns` turns.
+    pub fn with_bound(now_ms: u64, bound_turns: f64) -> ProgramAdmission {
         ProgramAdmission {
+            bound_turns,
             started_ms: now_ms,
             services: HashMap::new(),
             programs: SeenPrograms::default(),
@@ -172,9 +179,10 @@
         if !is_known && self.services.len() >= MAX_SERVICES {
             self.services.clear();
         }
+        let bound_turns = self.bound_turns;
         let control = self.services.entry(service.to_string());
         control.or_insert_with(|| ServiceControl {
-            share: ShareControl::new(now_ms),
+            share: ShareControl::with_bound(now_ms, bound_turns),
             work: WorkCounters::default(),
             pressure: None,
             endpoints: 0,
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -29,5 +29,5 @@
 };
 pub use pressure::{EndpointLoad, Pressure};
 pub use programs::{ProgramKey, ProgramState, SeenPrograms};
-pub use share::ShareControl;
+pub use share::{DEFAULT_BOUND_TURNS, ShareControl};
 pub use work::{Claimant, Shares, WorkCounters};
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -50,6 +50,7 @@
         }
     };
     settings.hedging = options.hedging;
+    settings.max_queueing_turns = options.max_queueing_turns;
     settings.advertised = advertised.unwrap_or(settings.advertised);
     logging::start_nonblocking(log::LevelFilter::Info, &settings.name)?;
     let runtime = Builder::new_current_thread()
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -120,7 +120,7 @@
     pub shutdown: Rc<Shutdown>,
     /// How long requests take.
     pub durations: RefCell<Durations>,
-    /// Admission of new programs. `None` where capacity is not scarce.
+    /// Admission of new programs. `None` where capacity is not scarce or the operators set no bound.
     program_gate: Option<RefCell<ProgramGate>>,
     /// Limits the log lines for successful responses. Those beyond it are only counted.
     response_log_budget: RefCell<LineBudget>,
@@ -149,10 +149,10 @@
             balancer.enable_program_affinity();
         }
         let memory_mb = settings.limits.memory_mb;
-        let program_gate = settings
-            .features
-            .scarce_capacity
-            .then(|| RefCell::new(ProgramGate::new(now_ms())));
+        let bound_turns = settings.max_queueing_turns;
+        let program_gate = bound_turns
+            .filter(|_| settings.features.scarce_capacity)
+            .map(|bound| RefCell::new(ProgramGate::new(now_ms(), bound)));
         Edge {
             program_gate,
             hedger: RefCell::new(Hedger::new(settings.hedging)),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,6 +42,9 @@
     pub bounds: Bounds,
     /// Second sends of slow requests. Used by entry instances only.
     pub hedging: HedgingSettings,
+    /// Expected queueing time at endpoints, in turns, above which new programs are rejected where
+    /// capacity is scarce. None to admit all.
+    pub max_queueing_turns: Option<f64>,
     /// What the installation needs beyond the basic service.
     pub features: Features,
 }
--- a/crates/settings/tests/edge_options.rs
+++ b/crates/settings/tests/edge_options.rs
@@ -33,6 +33,14 @@
     assert_eq!(hedging.max_burst(), 4);
 }
 
+// Guards against rejections of programs that the operators did not ask for.
+#[test_case("", None; "empty")]
+#[test_case("[admission]\nmax_queueing_turns = 0\n", None; "zero")]
+#[test_case("[admission]\nmax_queueing_turns = 0.4\n", Some(0.4); "a bound")]
+fn admission_bound_is_read(text: &str, expected: Option<f64>) {
+    assert_eq!(read(text).unwrap().max_queueing_turns, expected);
+}
+
 // Guards against a share that the operators did not mean, against ignoring a misspelled name, and
 // against messages that do not say where the problem is.
 #[test_case(
@@ -63,6 +71,10 @@
     "[hedging]\nmax_burst = 101",
     "edge.ini: [hedging] max_burst: must be a whole number from 1 to 100"
 )]
+#[test_case(
+    "[admission]\nmax_queueing_turns = 4",
+    "edge.ini: [admission] max_queueing_turns: must be a number from 0 to 3"
+)]
 #[test_case(
     "[hedging]\nmax_busrt = 4",
     "edge.ini: [hedging] max_busrt: is not a known key"
