Assign programs to engines only where capacity is scarce or zones are managed

Cause: with the fourth figure of Instance-Load alone, affinity sends slow engines as many programs as fast ones. The test of overflow with programs turns affinity on, since its last check is about cached histories.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -484,15 +484,10 @@
     /// endpoints of the own zone that accept requests, whatever this instance knows about them, so
     /// that they are the same at each instance of the zone. During an overflow there are as many in
     /// other zones.
-    fn affinity(
-        &self,
-        request: &PickRequest<'_>,
-        is_timed: bool,
-        overflow: Overflow,
-    ) -> Affinity {
+    fn affinity(&self, request: &PickRequest<'_>, overflow: Overflow) -> Affinity {
         let last = request.last_endpoint;
-        let is_assigned = self.has_program_affinity || is_timed;
-        let key = request.object.or(request.program.filter(|_| is_assigned));
+        let program = request.program.filter(|_| self.has_program_affinity);
+        let key = request.object.or(program);
         let candidates = |is_remote: bool| {
             let endpoints = self.endpoints.iter().filter(move |(_, endpoint)| {
                 endpoint.accepts(request.target, &self.zones)
@@ -543,7 +538,7 @@
         });
         let mut scored: Vec<Scored<'a>> = scored.collect();
         let overflow = self.overflow(request, &scored);
-        let affinity = self.affinity(request, is_timed, overflow);
+        let affinity = self.affinity(request, overflow);
         let remote_cost = match is_timed {
             true => overflow.cost(REMOTE_ZONE_PENALTY),
             false => REMOTE_ZONE_PENALTY,
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -276,6 +276,7 @@
     let before = FleetModel::new(&settings).run(36_000);
     let settings = ModelSettings {
         reports_work_factor: true,
+        has_program_affinity: programs > 0,
         ..settings
     };
     let after = FleetModel::new(&settings).run(36_000);
