--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,6 +6,8 @@
 //! as of the last report. The second part decays exponentially with the age of the report,
 //! since nothing is known about how those requests went on.
 
+mod choice;
+mod endpoint;
 mod explain;
 
 use std::cell::Cell;
@@ -13,13 +15,8 @@
 use std::net::SocketAddr;
 
 use jayreel_admission::EndpointLoad;
-use jayreel_hedging::EndpointState;
 use jayreel_ledger::{EndpointLimit, EndpointRun};
-use jayreel_placement::{
-    AffinityKey, Candidates, EndpointHash, HeldHistory, Overflow, SpeedEstimate,
-    TokenLoad, WorkFactor, choose_similar, expected_time, load_per_slot, object_bonus,
-    program_bonus,
-};
+use jayreel_placement::{EndpointHash, Overflow, SpeedEstimate, TokenLoad, WorkFactor};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::directory::EndpointEntry;
@@ -28,6 +25,7 @@
 use crate::protocol::Load;
 use crate::zone_state::{ZoneChange, ZoneStates};
 
+pub use choice::{MemoryBound, PickReason, PickRequest};
 pub use explain::ExplainedEndpoint;
 
 new_key_type! {
@@ -35,46 +33,16 @@
     pub struct EndpointKey;
 }
 
-/// Half-life of the load that other instances cause, in milliseconds: about the duration of a
-/// request.
-const OTHERS_HALF_LIFE_MS: f64 = 400.0;
-
-/// Score penalty for an endpoint in another availability zone, in units of load per slot.
-/// Traffic between zones is expensive.
-const REMOTE_ZONE_PENALTY: f64 = 0.7;
-
-/// Score bonus, in units of load per slot, for the endpoint that has the program's earlier
-/// turns in its cache, where programs are not assigned to endpoints.
-const AFFINITY_BONUS: f64 = 0.10;
-
-/// Difference between expected times below which the choice is random, in times of a typical
-/// request. In the model of `tests/placement.rs` 0.3 instead of 0.1 raises the 95th percentile,
-/// since slow endpoints are chosen more often.
-const SIMILAR_TIME: f64 = 0.1;
-
 /// Weight of the newest report in an endpoint's usual load. An instance hears from an endpoint
 /// about once in two seconds.
 const USUAL_LOAD_WEIGHT: f64 = 0.2;
 
-/// Time constant, in milliseconds, with which an endpoint's usual load returns to that of the
-/// service: a few times the interval between two reports.
-const USUAL_LOAD_DECAY_MS: f64 = 10_000.0;
-
 /// Weight of the newest report in the usual load of a service's endpoints.
 const SERVICE_LOAD_WEIGHT: f64 = 0.02;
 
-/// Share of that load that is assumed for an endpoint that has reported none. With 0, each instance
-/// sends requests to each endpoint of other zones only to learn its load; with 1, it never learns
-/// that others are less loaded.
-const UNKNOWN_LOAD_SHARE: f64 = 0.5;
-
 /// Weight of the newest request in the average number of tokens of a service's requests.
 const REQUEST_TOKENS_WEIGHT: f64 = 0.02;
 
-/// Score penalty for an engine whose memory does not hold a request. Larger than any load, so that
-/// all others come first, and lower than the penalty for a paused endpoint.
-const MEMORY_PENALTY: f64 = 100.0;
-
 /// Weight of the newest request in the average time of a service's requests.
 const REQUEST_TIME_WEIGHT: f64 = 0.02;
 
@@ -92,26 +60,6 @@
 /// Weight of the newest time to first byte in an endpoint's moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
 
-/// Time constant, in milliseconds, with which an endpoint's slowness decays towards the
-/// service's average, so that an endpoint that was slow is tried again.
-const SLOWNESS_DECAY_MS: f64 = 4_000.0;
-
-/// Score penalty for an endpoint that only fails, in units of load per slot. Larger than the
-/// penalty for a remote zone, so that requests leave a zone in which every endpoint fails.
-const ERROR_PENALTY: f64 = 1.0;
-
-/// Weight of a failed request in an endpoint's error rate. An instance sends few requests a
-/// second to one endpoint, so a single error must be enough to try others.
-const ERROR_WEIGHT: f64 = 0.5;
-
-/// Weight of a successful request in an endpoint's error rate. Lower than that of an error,
-/// since an endpoint may fail only some of its requests.
-const SUCCESS_WEIGHT: f64 = 0.1;
-
-/// Time constant, in milliseconds, with which the error rate decays. An instance sends a
-/// healthy endpoint a request every few seconds.
-const ERROR_DECAY_MS: f64 = 5_000.0;
-
 /// Load per slot above which an endpoint counts as overloaded. The queue of an endpoint is
 /// three times its slots.
 const OVERLOAD_LOAD_PER_SLOT: f64 = 3.5;
@@ -155,69 +103,6 @@
     error_rate_ms: u64,
 }
 
-/// What is known about a request when an endpoint is chosen for it.
-#[derive(Clone, Copy, Debug)]
-pub struct PickRequest<'a> {
-    /// The endpoints that may run it.
-    pub target: Target<'a>,
-    /// Identifier of the endpoint that ran the program's last turn from this instance.
-    pub last_endpoint: Option<&'a str>,
-    /// The endpoint that ran the turn which the request continues, and so holds its whole history.
-    /// `None` if another instance sent that turn.
-    pub previous_turn: Option<EndpointKey>,
-    /// The program of the request.
-    pub program: Option<AffinityKey>,
-    /// The object that it is about, if endpoints that have handled it recently are faster. Comes
-    /// before the program.
-    pub object: Option<AffinityKey>,
-    /// What it takes in the memory of an engine. `None` without a bound.
-    pub memory: Option<MemoryBound>,
-    /// Identifiers of endpoints that are left out.
-    pub tried: &'a [String],
-    /// Random number from 0 up to, but not including, 1, for the choice among endpoints with
-    /// similar expected times. `None` for the best one.
-    pub random: Option<f64>,
-}
-
-impl<'a> PickRequest<'a> {
-    /// A request without a program.
-    pub fn new(target: impl Into<Target<'a>>, tried: &'a [String]) -> PickRequest<'a> {
-        PickRequest {
-            target: target.into(),
-            last_endpoint: None,
-            previous_turn: None,
-            program: None,
-            object: None,
-            memory: None,
-            tried,
-            random: None,
-        }
-    }
-}
-
-/// The tokens of a request, and those that the memory of one engine holds.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct MemoryBound {
-    /// Of the prompt and to be generated.
-    pub tokens: u32,
-    /// Of all requests at one engine.
-    pub capacity_tokens: u32,
-}
-
-/// Why an endpoint was chosen.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PickReason {
-    /// It ran the last turn of the program, or it is a candidate for the program or the object.
-    Affinity,
-    /// It is among those in the own availability zone that are expected to complete the request
-    /// first.
-    ExpectedTime,
-    /// It has the lowest score in the own availability zone.
-    Score,
-    /// It is in another availability zone, whatever else speaks for it.
-    Overflow,
-}
-
 /// The endpoint chosen for one send.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Pick {
@@ -381,213 +266,6 @@
         endpoints.any(|endpoint| endpoint.accepts(target, &self.zones))
     }
 
-    /// Chooses the endpoint of a service with the lowest score. `affinity` is the identifier of
-    /// the endpoint that ran the program's last turn; endpoints in `tried` are left out.
-    ///
-    /// An endpoint that failed recently is chosen only if there is no other. One that has reached
-    /// its limit is not chosen.
-    pub fn pick<'a>(
-        &self,
-        now_ms: u64,
-        target: impl Into<Target<'a>>,
-        affinity: Option<&'a str>,
-        tried: &'a [String],
-    ) -> Option<Pick> {
-        let request = PickRequest {
-            last_endpoint: affinity,
-            ..PickRequest::new(target, tried)
-        };
-        self.choose(now_ms, &request)
-    }
-
-    /// Like `choose`, for a request without a program, but all endpoints that may be chosen, the
-    /// best first. Ends with the first one that needs no token.
-    pub fn candidates<'a>(
-        &self,
-        now_ms: u64,
-        target: impl Into<Target<'a>>,
-        affinity: Option<&'a str>,
-        tried: &'a [String],
-    ) -> Vec<Pick> {
-        let request = PickRequest {
-            last_endpoint: affinity,
-            ..PickRequest::new(target, tried)
-        };
-        self.choices(now_ms, &request)
-    }
-
-    /// Chooses the endpoint for a request: the one with the lowest score, or at random one of those
-    /// with similar expected times.
-    pub fn choose(&self, now_ms: u64, request: &PickRequest<'_>) -> Option<Pick> {
-        let scored = self.scored(now_ms, request);
-        let random = request
-            .random
-            .filter(|_| self.timed(request.target.service).is_some());
-        let best = match random {
-            None => scored.iter().min_by(|a, b| a.score.total_cmp(&b.score)),
-            Some(random) => {
-                let scores = scored.iter().map(|scored| scored.score);
-                let chosen = choose_similar(scores, SIMILAR_TIME, random);
-                chosen.and_then(|index| scored.get(index))
-            }
-        };
-        best.map(|best| self.picked(now_ms, best))
-    }
-
-    /// Like `choose`, but all endpoints that may be chosen, the best first. Ends with the first one
-    /// that needs no token.
-    pub fn choices(&self, now_ms: u64, request: &PickRequest<'_>) -> Vec<Pick> {
-        let mut scored = self.scored(now_ms, request);
-        scored.sort_by(|a, b| a.score.total_cmp(&b.score));
-        let needing = scored
-            .iter()
-            .take_while(|scored| scored.endpoint.limit.needs_token(now_ms))
-            .count();
-        let scored = scored.iter().take(needing + 1);
-        scored.map(|scored| self.picked(now_ms, scored)).collect()
-    }
-
-    /// All endpoints of a service that may be chosen, with what decides whether a request that was
-    /// sent to those in `tried` may be hedged there.
-    pub fn hedge_candidates<'a>(
-        &self,
-        now_ms: u64,
-        target: impl Into<Target<'a>>,
-        tried: &[String],
-    ) -> Vec<(Pick, EndpointState<'_>)> {
-        let scored = self.scored(now_ms, &PickRequest::new(target, &[]));
-        let candidate = |scored: &Scored<'_>| {
-            let endpoint = &self.endpoints[scored.key];
-            let pick = self.picked(now_ms, scored);
-            let state = EndpointState {
-                zone: &endpoint.entry.availability_zone,
-                score: scored.score,
-                load_per_slot: endpoint.load(now_ms),
-                slowness: endpoint.slowness_at(now_ms),
-                error_rate: endpoint.error_rate_at(now_ms),
-                is_paused: endpoint.paused_until_ms > now_ms || endpoint.is_suspended,
-                needs_token: pick.needs_token,
-                is_tried: tried.contains(&pick.id),
-            };
-            (pick, state)
-        };
-        scored.iter().map(candidate).collect()
-    }
-
-    /// The state of a service whose endpoints are ranked by expected time.
-    fn timed(&self, service: &str) -> Option<&ServicePlacement> {
-        let placement = self.placements.get(service);
-        placement.filter(|placement| placement.is_timed)
-    }
-
-    /// The endpoints that a request prefers. The candidates for its key are computed over all
-    /// endpoints of the own zone that accept requests, whatever this instance knows about them, so
-    /// that they are the same at each instance of the zone. During an overflow there are as many in
-    /// other zones.
-    fn affinity(&self, request: &PickRequest<'_>, overflow: Overflow) -> Affinity {
-        let last = request.last_endpoint;
-        let program = request.program.filter(|_| self.has_program_affinity);
-        let key = request.object.or(program);
-        let candidates = |is_remote: bool| {
-            let endpoints = self.endpoints.iter().filter(move |(_, endpoint)| {
-                endpoint.accepts(request.target, &self.zones)
-                    && self.is_remote(endpoint) == is_remote
-            });
-            let hashes = endpoints.map(|(key, endpoint)| (key, endpoint.hash));
-            key.map(|key| Candidates::new(key, hashes))
-        };
-        Affinity {
-            last: last.and_then(|id| self.by_id.get(id).copied()),
-            previous_turn: request.previous_turn,
-            is_object: request.object.is_some(),
-            candidates: candidates(false),
-            remote_candidates: match overflow.is_active() {
-                true => candidates(true),
-                false => None,
-            },
-        }
-    }
-
-    /// The endpoints that may be chosen, with their scores.
-    fn scored<'a>(&'a self, now_ms: u64, request: &PickRequest<'_>) -> Vec<Scored<'a>> {
-        let placement = self.placements.get(request.target.service);
-        let timed = placement.filter(|placement| placement.is_timed);
-        let is_timed = timed.is_some();
-        let is_bounded = self.has_program_affinity || is_timed;
-        let memory = request.memory.filter(|_| is_bounded);
-        let request_tokens = placement.map_or(0.0, |placement| placement.request_tokens);
-        let usable = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.accepts(request.target, &self.zones)
-                && !request.tried.contains(&endpoint.entry.id)
-                && endpoint.limit.wait_ms(now_ms) == 0
-        });
-        let draw = self.zones.draw();
-        let scored = usable.map(|(key, endpoint)| {
-            let has_room = memory
-                .is_none_or(|memory| endpoint.has_room(now_ms, memory, request_tokens));
-            let memory_penalty = if has_room { 0.0 } else { MEMORY_PENALTY };
-            let zone = &endpoint.entry.availability_zone;
-            let return_penalty = self.zones.penalty(now_ms, zone, draw);
-            Scored {
-                key,
-                endpoint,
-                score: endpoint.score(now_ms, timed) + memory_penalty + return_penalty,
-                is_remote: self.is_remote(endpoint),
-                is_preferred: false,
-            }
-        });
-        let mut scored: Vec<Scored<'a>> = scored.collect();
-        let overflow = self.overflow(request, &scored);
-        let affinity = self.affinity(request, overflow);
-        let remote_cost = match is_timed {
-            true => overflow.cost(REMOTE_ZONE_PENALTY),
-            false => REMOTE_ZONE_PENALTY,
-        };
-        for scored in &mut scored {
-            let bonus = affinity.bonus(scored.key, scored.is_remote);
-            scored.is_preferred = bonus > 0.0;
-            scored.score += if scored.is_remote { remote_cost } else { 0.0 };
-            scored.score -= bonus;
-        }
-        scored
-    }
-
-    /// Decides whether requests of a service go to other zones, from the scores without the cost of
-    /// crossing and without affinity. A retry, which leaves out endpoints, changes no state.
-    fn overflow(&self, request: &PickRequest<'_>, scored: &[Scored<'_>]) -> Overflow {
-        let placement = self.placements.get(request.target.service);
-        let best = |is_remote: bool| {
-            let zone = scored.iter().filter(|one| one.is_remote == is_remote);
-            zone.map(|one| one.score).min_by(f64::total_cmp)
-        };
-        let mut overflow =
-            placement.map_or_else(Overflow::default, |one| one.overflow.get());
-        overflow.update(best(false), best(true), REMOTE_ZONE_PENALTY);
-        if let Some(placement) = placement.filter(|_| request.tried.is_empty()) {
-            placement.overflow.set(overflow);
-        }
-        overflow
-    }
-
-    fn picked(&self, now_ms: u64, scored: &Scored<'_>) -> Pick {
-        let endpoint = scored.endpoint;
-        let is_timed = self.timed(&endpoint.entry.service).is_some();
-        Pick {
-            key: scored.key,
-            id: endpoint.entry.id.clone(),
-            address: endpoint.entry.address,
-            is_remote: scored.is_remote,
-            needs_token: endpoint.limit.needs_token(now_ms),
-            reason: match scored.is_remote {
-                true => PickReason::Overflow,
-                false if scored.is_preferred => PickReason::Affinity,
-                false if is_timed => PickReason::ExpectedTime,
-                false => PickReason::Score,
-            },
-            is_cold: endpoint.limit.is_cold(now_ms),
-        }
-    }
-
     /// Whether an endpoint is in another availability zone than this instance.
     fn is_remote(&self, endpoint: &Endpoint) -> bool {
         endpoint.entry.availability_zone != self.availability_zone
@@ -926,164 +604,6 @@
     }
 }
 
-/// An endpoint that may be chosen.
-struct Scored<'a> {
-    key: EndpointKey,
-    endpoint: &'a Endpoint,
-    /// Lower is better.
-    score: f64,
-    is_remote: bool,
-    /// The request prefers it to others with a slightly lower score.
-    is_preferred: bool,
-}
-
-/// The endpoints that a request prefers.
-struct Affinity {
-    /// The one that ran the last turn of the program.
-    last: Option<EndpointKey>,
-    /// The one that ran the turn which the request continues.
-    previous_turn: Option<EndpointKey>,
-    /// The key is an object.
-    is_object: bool,
-    /// The candidates for the key. `None` if the request is not assigned to endpoints.
-    candidates: Option<Candidates<EndpointKey>>,
-    /// The candidates in other zones. `None` if no requests go there.
-    remote_candidates: Option<Candidates<EndpointKey>>,
-}
-
-impl Affinity {
-    /// By how much the score of an endpoint is lowered. A remote endpoint gets little while there
-    /// is no overflow, so that a program returns to the own zone.
-    fn bonus(&self, key: EndpointKey, is_remote: bool) -> f64 {
-        let is_last = self.last == Some(key);
-        let Some(candidates) = &self.candidates else {
-            return if is_last { AFFINITY_BONUS } else { 0.0 };
-        };
-        let candidates = match is_remote {
-            true => self.remote_candidates.as_ref(),
-            false => Some(candidates),
-        };
-        let position = candidates.and_then(|candidates| candidates.position(key));
-        if self.is_object {
-            return object_bonus(position);
-        }
-        let history = match self.previous_turn == Some(key) {
-            true if candidates.is_some() => HeldHistory::Whole,
-            false if !is_last => HeldHistory::Unknown,
-            _ => HeldHistory::Part,
-        };
-        program_bonus(history, position)
-    }
-}
-
-impl Endpoint {
-    /// Whether it accepts new requests for a target.
-    fn accepts(&self, target: Target<'_>, zones: &ZoneStates) -> bool {
-        let zone = &self.entry.availability_zone;
-        let is_ending = self.entry.is_draining || self.is_leaving;
-        let is_usable_zone = target.allows(zone) && !zones.is_evacuated(zone);
-        self.entry.service == target.service && !is_ending && is_usable_zone
-    }
-
-    /// Estimated load per slot with one more request, or its expected time in those of a typical
-    /// request, corrected by penalties. Lower is better. The terms for paused and suspended
-    /// endpoints exceed all others.
-    ///
-    /// `timed` is the state of the service if its endpoints are ranked by expected time.
-    fn score(&self, now_ms: u64, timed: Option<&ServicePlacement>) -> f64 {
-        let time = match timed {
-            Some(service) => {
-                let requests = self.expected_requests(now_ms, service.usual_load);
-                let relative_time =
-                    self.speed.relative_time(now_ms) * self.work_factor_at(now_ms);
-                expected_time(load_per_slot(requests, self.entry.slots), relative_time)
-            }
-            None => {
-                let load = self.load(now_ms) + 1.0 / f64::from(self.entry.slots);
-                let slowness = self.slowness_at(now_ms);
-                load * slowness + (slowness - 1.0) * 0.5
-            }
-        };
-        let pause_penalty = match self.paused_until_ms > now_ms {
-            true => 1_000.0 + f64::from(self.consecutive_failures),
-            false => 0.0,
-        };
-        let suspension_penalty = if self.is_suspended { 10_000.0 } else { 0.0 };
-        let error_penalty = ERROR_PENALTY * self.error_rate_at(now_ms);
-        time + error_penalty + pause_penalty + suspension_penalty
-    }
-
-    /// Whether its memory is expected to hold a request. Those of other instances are assumed to
-    /// be like those of this one there, or else to have `request_tokens`.
-    fn has_room(&self, now_ms: u64, memory: MemoryBound, request_tokens: f64) -> bool {
-        let requests = self.load(now_ms) * f64::from(self.entry.slots);
-        self.tokens.has_room(
-            requests,
-            request_tokens,
-            memory.tokens,
-            memory.capacity_tokens,
-        )
-    }
-
-    /// How long work currently takes, where 1 is the usual time.
-    fn work_factor_at(&self, now_ms: u64) -> f64 {
-        self.work_factor.map_or(1.0, |factor| factor.at(now_ms))
-    }
-
-    fn limit_report(&self, now_ms: u64) -> EndpointLimit {
-        EndpointLimit {
-            endpoint: self.entry.id.clone(),
-            report: self.limit.report(now_ms),
-            cold: self.limit.cold_report(now_ms),
-        }
-    }
-
-    /// Estimated number of requests, running and waiting, per slot.
-    fn load(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.reported_ms) as f64;
-        let other_requests = self.other_requests
-            * (-age_ms / OTHERS_HALF_LIFE_MS * std::f64::consts::LN_2).exp();
-        (f64::from(self.own_requests) + other_requests) / f64::from(self.entry.slots)
-    }
-
-    /// Estimated number of requests, running and waiting. Other than in `load`, those of other
-    /// instances return to their usual number and not to 0 once the report is old, and slowly to
-    /// that of the service, so that an endpoint that was overloaded is tried again.
-    fn expected_requests(&self, now_ms: u64, usual_load: f64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.reported_ms) as f64;
-        let typical = f64::from(self.entry.slots) * usual_load;
-        let Some(usual) = self.usual_requests else {
-            return f64::from(self.own_requests) + typical * UNKNOWN_LOAD_SHARE;
-        };
-        let usual = typical + (usual - typical) * (-age_ms / USUAL_LOAD_DECAY_MS).exp();
-        let weight = (-age_ms / OTHERS_HALF_LIFE_MS * std::f64::consts::LN_2).exp();
-        f64::from(self.own_requests) + usual + (self.other_requests - usual) * weight
-    }
-
-    /// Updates the error rate with the outcome of one request.
-    fn update_error_rate(&mut self, now_ms: u64, is_error: bool) {
-        let before = self.error_rate_at(now_ms);
-        self.error_rate = match is_error {
-            true => before + (1.0 - before) * ERROR_WEIGHT,
-            false => before * (1.0 - SUCCESS_WEIGHT),
-        };
-        self.error_rate_ms = now_ms;
-    }
-
-    /// The error rate, decayed to `now_ms`.
-    fn error_rate_at(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.error_rate_ms) as f64;
-        self.error_rate * (-age_ms / ERROR_DECAY_MS).exp()
-    }
-
-    /// The slowness, decayed to `now_ms`. At least 1, so a fast endpoint gets no bonus.
-    fn slowness_at(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.slowness_ms) as f64;
-        let weight = (-age_ms / SLOWNESS_DECAY_MS).exp();
-        (1.0 + (self.slowness - 1.0) * weight).max(1.0)
-    }
-}
-
 /// Whether two entries with the same identifier are of the same run of an endpoint.
 pub(crate) fn is_same_run(known: &EndpointEntry, new: &EndpointEntry) -> bool {
     known.address == new.address
