--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins and clients of the scripts review/9 and review/10. Needs rustc only.
+# Builds the stand-ins and clients of the scripts review/6 to review/10. Needs rustc only.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -29,7 +29,7 @@
 
 pub struct Machine {
     pub name: String,
-    zone: &'static str,
+    pub zone: &'static str,
     pub ip: Ipv4Addr,
     is_storage: bool,
     memory_mb: u64,
@@ -43,6 +43,34 @@
 }
 
 impl Machine {
+    fn new(
+        folder: &Path,
+        network: (u8, u8),
+        store: SocketAddr,
+        index: usize,
+        is_storage: bool,
+        memory_mb: u64,
+    ) -> io::Result<Arc<Machine>> {
+        let number = index + if is_storage { 100 } else { 1 };
+        let kind = if is_storage { "storage" } else { "edge" };
+        let name = format!("{kind}-{}", index + 1);
+        let folder = folder.join(&name);
+        fs::create_dir_all(&folder)?;
+        Ok(Arc::new(Machine {
+            zone: ZONES[index % 3],
+            ip: Ipv4Addr::new(127, network.0, network.1, number as u8),
+            is_storage,
+            memory_mb,
+            folder,
+            store,
+            bootstrap: AtomicBool::new(true),
+            child: Mutex::default(),
+            is_kept_running: AtomicBool::new(false),
+            peak_kb: Mutex::default(),
+            name,
+        }))
+    }
+
     pub fn front(&self) -> SocketAddr {
         SocketAddr::from((self.ip, FRONT_PORT))
     }
@@ -132,6 +160,12 @@
         }
     }
 
+    /// Deletes the data of a machine whose process has ended for good.
+    pub fn lose_disk(&self) {
+        // Fails if the process has not written yet.
+        let _ = fs::remove_dir_all(self.folder.join("data"));
+    }
+
     pub fn is_ready(&self) -> bool {
         client::get_status(SocketAddr::from((self.ip, READY_PORT)), "/-/readyz") == Some(200)
     }
@@ -176,11 +210,12 @@
 }
 
 pub struct Fleet {
-    _store: Store,
+    pub store: Store,
     pub edges: Vec<Arc<Machine>>,
     pub storages: Vec<Arc<Machine>>,
     pub record: Arc<Record>,
     folder: PathBuf,
+    network: (u8, u8),
     is_over: Arc<AtomicBool>,
     supervisors: Vec<JoinHandle<()>>,
 }
@@ -195,53 +230,30 @@
     ) -> io::Result<Fleet> {
         let folder = std::env::temp_dir().join(format!("jayreel-review-{}", std::process::id()));
         let network = free_network()?;
-        let machine = |index: usize, is_storage: bool| -> io::Result<Arc<Machine>> {
-            let number = index + if is_storage { 100 } else { 1 };
-            let kind = if is_storage { "storage" } else { "edge" };
-            let name = format!("{kind}-{}", index + 1);
-            let folder = folder.join(&name);
-            fs::create_dir_all(&folder)?;
-            Ok(Arc::new(Machine {
-                zone: ZONES[index % 3],
-                ip: Ipv4Addr::new(127, network.0, network.1, number as u8),
-                is_storage,
-                memory_mb: if is_storage { 130 } else { edge_memory_mb },
-                folder,
-                store: store.address,
-                bootstrap: AtomicBool::new(true),
-                child: Mutex::default(),
-                is_kept_running: AtomicBool::new(false),
-                peak_kb: Mutex::default(),
-                name,
-            }))
+        let machine = |index: usize, is_storage: bool| {
+            let memory_mb = if is_storage { 130 } else { edge_memory_mb };
+            Machine::new(&folder, network, store.address, index, is_storage, memory_mb)
         };
         let edges = (0..edges).map(|index| machine(index, false));
         let edges: Vec<Arc<Machine>> = edges.collect::<io::Result<_>>()?;
         let storages = (0..STORAGES).map(|index| machine(index, true));
         let storages: Vec<Arc<Machine>> = storages.collect::<io::Result<_>>()?;
-        let is_over = Arc::new(AtomicBool::new(false));
-        let mut supervisors = Vec::new();
-        for machine in storages.iter().chain(&edges) {
-            machine.start()?;
-            machine.bootstrap.store(false, Ordering::Relaxed);
-            let (machine, record) = (Arc::clone(machine), Arc::clone(record));
-            let is_over = Arc::clone(&is_over);
-            supervisors.push(thread::spawn(move || {
-                while !is_over.load(Ordering::Relaxed) {
-                    machine.supervise(&record);
-                    thread::sleep(Duration::from_millis(5));
-                }
-            }));
-        }
-        let fleet = Fleet {
-            _store: store,
+        let mut fleet = Fleet {
+            store,
             edges,
-            storages,
+            storages: Vec::new(),
             record: Arc::clone(record),
             folder,
-            is_over,
-            supervisors,
+            network,
+            is_over: Arc::default(),
+            supervisors: Vec::new(),
         };
+        for machine in storages {
+            fleet.add(machine)?;
+        }
+        for machine in fleet.edges.clone() {
+            fleet.run(&machine)?;
+        }
         let until = Instant::now() + Duration::from_secs(30);
         while !fleet.edges.iter().all(|edge| edge.is_ready()) {
             if Instant::now() > until {
@@ -252,6 +264,74 @@
         record.add("edges are ready");
         Ok(fleet)
     }
+
+    /// Adds an empty storage machine at another address, in the zone of another one.
+    pub fn add_storage(&mut self, zone: &'static str) -> io::Result<Arc<Machine>> {
+        let index = self.storages.len();
+        let address = self.store.address;
+        let machine = Machine::new(&self.folder, self.network, address, index, true, 130)?;
+        let mut machine = Arc::into_inner(machine).expect("it is not shared yet");
+        machine.zone = zone;
+        machine.bootstrap = AtomicBool::new(false);
+        let machine = Arc::new(machine);
+        self.add(Arc::clone(&machine))?;
+        Ok(machine)
+    }
+
+    fn add(&mut self, machine: Arc<Machine>) -> io::Result<()> {
+        self.run(&machine)?;
+        self.storages.push(machine);
+        Ok(())
+    }
+
+    /// Starts a machine and keeps it running.
+    fn run(&mut self, machine: &Arc<Machine>) -> io::Result<()> {
+        machine.start()?;
+        machine.bootstrap.store(false, Ordering::Relaxed);
+        let (machine, record) = (Arc::clone(machine), Arc::clone(&self.record));
+        let is_over = Arc::clone(&self.is_over);
+        self.supervisors.push(thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) {
+                machine.supervise(&record);
+                thread::sleep(Duration::from_millis(5));
+            }
+        }));
+        Ok(())
+    }
+
+    /// Asks a storage machine to empty itself, as the operator does.
+    pub fn retire(&self, machine: &Machine) {
+        self.record.add(&format!("retire machine={}", machine.name));
+        let key = format!("op/retire/{}", machine.name);
+        self.store.put(&key, "{\"durationS\":8.5}");
+    }
+
+    /// Waits until a machine reports that it is emptied, and removes it. Returns whether it did so
+    /// within a time.
+    pub fn remove_when_retired(&self, machine: &Machine, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        let key = format!("status/retire/{}", machine.name);
+        while Instant::now() < until {
+            let status = self.store.value(&key).unwrap_or_default();
+            if status.contains("completed") {
+                self.record.add(&format!("retired machine={} status={status}", machine.name));
+                machine.stop();
+                machine.lose_disk();
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let status = self.store.value(&key).unwrap_or_default();
+        self.record.add(&format!("not retired machine={} status={status}", machine.name));
+        false
+    }
+
+    /// Removes a machine for good, without notice.
+    pub fn lose(&self, machine: &Machine) {
+        self.record.add(&format!("lost for good machine={}", machine.name));
+        machine.stop();
+        machine.lose_disk();
+    }
 }
 
 impl Drop for Fleet {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod record;
 mod resumed_turn;
+mod retirements;
 mod shared_history;
 mod store;
 mod worker;
@@ -38,6 +39,9 @@
         exit(2);
     }
     let result = match case.as_str() {
+        "lost-during-retirement" => retirements::lost_during_retirement(&record, has_trouble),
+        "second-loss" => retirements::second_loss(&record, has_trouble),
+        "two-retirements" => retirements::two_retirements(&record, has_trouble),
         "resumed-turn" => resumed_turn::run(&record, has_trouble),
         "shared-history" => shared_history::run(&record, has_trouble),
         _ => Err(std::io::Error::other("unknown case")),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -90,6 +90,15 @@
     }
 }
 
+impl Store {
+    /// The value of a key, as the operator reads it. `None` if there is none.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.shared.0.lock().expect("no panic");
+        let item = state.items.get(key)?;
+        Some(String::from_utf8_lossy(&decode_base64(&item.value)).into_owned())
+    }
+}
+
 fn serve(stream: TcpStream, shared: &(Mutex<State>, Condvar)) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
@@ -192,9 +201,9 @@
     (200, format!("{{\"revision\":{}}}", state.revision))
 }
 
+const LETTERS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
 fn encode_base64(bytes: &[u8]) -> String {
-    const LETTERS: &[u8] =
-        b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
         let number = group.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte));
@@ -211,3 +220,21 @@
     }
     text
 }
+
+fn decode_base64(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut number, mut bits) = (0_u32, 0);
+    for letter in text.bytes() {
+        let Some(value) = LETTERS.iter().position(|other| *other == letter) else {
+            break;
+        };
+        number = number << 6 | value as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((number >> bits) as u8);
+            number &= (1 << bits) - 1;
+        }
+    }
+    bytes
+}
