Report the memory of bodies, prompts and cached turns

What took the memory could not be told from logs or metrics. Hypotheses: (1) request bodies, (2) the prompts that are built from stored turns, (3) cached turns, (4) buffers of the links to members.

Change: the accounts of request and response bodies move into a module of their own, and prompts are counted, still without a limit. jayreel_memory_bytes and jayreel_memory_peak_bytes (by purpose) and jayreel_cached_turn_bytes report them; event=long_prompt is logged for a prompt of 256 KiB or more.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -22,17 +22,19 @@
     find_route, overload_refusal, quota_request, read_body,
 };
 use crate::edge::body::CallBody;
-use crate::edge::collect::{Claim, CollectError, Collected, collect_response};
+use crate::edge::collect::{CollectError, Collected, collect_response};
 use crate::edge::exchange::{
     EndpointResponse, OutgoingRequest, SendTimeouts, send, set_aside,
 };
 use crate::edge::hedge::{Answered, HedgedSend, SendProgress};
 use crate::edge::members::{ChainLookup, STORAGE_FULL_PAUSE_MS};
+use crate::edge::memory::Claim;
 use crate::edge::refusal::Refusal;
 use crate::edge::shutdown::Shutdown;
 use crate::edge::stream::{self, BudgetReservation, StreamCall};
 use crate::edge::{DisconnectLogger, Edge, RequestLogFields};
 use crate::home_regions::{HomeZones, Target};
+use crate::log_fields::OrNone;
 use crate::protocol::CallHead;
 use crate::quota_buffer::BufferedToken;
 use crate::retry::{Attempt, Outcome, RetryPolicy, Step};
@@ -70,6 +72,10 @@
 /// Number of turns in each further request: more than most conversations have.
 const MAX_FETCH_TURNS: u32 = 256;
 
+/// Length from which prompts are logged, in bytes: about ten times the longest of usual
+/// conversations.
+const LONG_PROMPT_BYTES: usize = 256 << 10;
+
 /// An instance keeps up to 1/32 of the connections that an endpoint accepts as idle
 /// connections. The fraction is fixed since instances do not know how many of them share the
 /// endpoint.
@@ -88,6 +94,8 @@
     pub outgoing: OutgoingRequest,
     /// Memory of the body that the caller sent.
     _body_claim: Claim,
+    /// Memory of the prompt, if it was built from stored turns.
+    prompt_claim: Claim,
     pub arrived_ms: u64,
     /// Time limit, in milliseconds from the arrival: the caller's deadline or the route's
     /// timeout, whichever is shorter.
@@ -302,6 +310,7 @@
             memory_tokens: engine.map_or(0, |_| call.memory_tokens()),
         },
         _body_claim: body_claim,
+        prompt_claim: Claim::new(&edge.prompt_memory),
         route,
         call,
         arrived_ms,
@@ -488,6 +497,10 @@
         let customer = admitted.outgoing.customer.as_deref().unwrap_or_default();
         edge.return_token(customer, admitted.token);
     })?;
+    if admitted.call.previous_turn.is_some() {
+        admitted.prompt_claim.resize(prompt.len());
+        log_long_prompt(edge, &admitted.call, prompt.len());
+    }
     admitted.outgoing.body = prompt;
     let unfinished_turn = admitted.route.stores_turns.then(|| TurnRecord {
         turn: admitted.call.request_id.clone(),
@@ -506,6 +519,18 @@
     .await
 }
 
+/// Logs a prompt of at least `LONG_PROMPT_BYTES`, with the memory of all prompts.
+fn log_long_prompt(edge: &Edge, call: &CallHead, prompt_bytes: usize) {
+    if prompt_bytes >= LONG_PROMPT_BYTES {
+        log::info!(
+            "event=long_prompt request={} previous={} bytes={prompt_bytes} all_bytes={}",
+            call.request_id,
+            OrNone(call.previous_turn.as_deref()),
+            edge.prompt_memory.usage().used_bytes,
+        );
+    }
+}
+
 /// How long the members keep a turn after its last use, in milliseconds. Twice the promised time,
 /// since a use does not always renew it, and the longest time for which a request uses it.
 fn stored_retention_ms(route: &Route) -> u64 {
--- a/crates/gateway/src/edge/collect.rs
+++ b/crates/gateway/src/edge/collect.rs
@@ -1,6 +1,5 @@
 //! Reads whole bodies into memory, within limits for each body and for all of them.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +7,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use crate::edge::memory::{Claim, MemoryAccount};
+
 /// Largest body of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -48,90 +49,19 @@
     }
 }
 
-/// Memory of many bodies.
-#[derive(Debug)]
-pub(crate) struct BodyMemory {
-    used_bytes: Cell<usize>,
-    max_bytes: usize,
-    /// Length up to which a collected body does not count.
-    free_bytes: usize,
+/// The account for the request bodies of a process with a memory limit in megabytes.
+pub(crate) fn request_account(memory_mb: u64) -> MemoryAccount {
+    MemoryAccount::share_of(memory_mb, REQUESTS_DIVISOR, "request_bodies")
 }
 
-impl BodyMemory {
-    /// For the response bodies of a process with a memory limit in megabytes.
-    pub(crate) fn for_responses(memory_mb: u64) -> BodyMemory {
-        BodyMemory::new(memory_mb, RESPONSES_DIVISOR, 0)
-    }
-
-    /// For the request bodies of such a process.
-    pub(crate) fn for_requests(memory_mb: u64) -> BodyMemory {
-        BodyMemory::new(memory_mb, REQUESTS_DIVISOR, FREE_REQUEST_BYTES)
-    }
-
-    fn new(memory_mb: u64, divisor: usize, free_bytes: usize) -> BodyMemory {
-        let memory_bytes = usize::try_from(memory_mb.saturating_mul(1_000_000));
-        BodyMemory {
-            used_bytes: Cell::new(0),
-            max_bytes: memory_bytes.unwrap_or(usize::MAX) / divisor,
-            free_bytes,
-        }
-    }
-
-    /// The part of a body of this length that counts.
-    fn counted_bytes(&self, body_bytes: usize) -> usize {
-        body_bytes.saturating_sub(self.free_bytes)
-    }
-
-    /// Whether this much can be claimed now.
-    fn has_room_for(&self, bytes: usize) -> bool {
-        bytes <= self.max_bytes.saturating_sub(self.used_bytes.get())
-    }
+/// The account for the response bodies that such a process reads.
+pub(crate) fn response_account(memory_mb: u64) -> MemoryAccount {
+    MemoryAccount::share_of(memory_mb, RESPONSES_DIVISOR, "response_bodies")
 }
 
-/// Memory of one body. Gives it back when it is dropped.
-#[derive(Debug)]
-pub(crate) struct Claim {
-    memory: Rc<BodyMemory>,
-    bytes: usize,
-}
-
-impl Claim {
-    /// Claims nothing yet.
-    pub(crate) fn new(memory: &Rc<BodyMemory>) -> Claim {
-        Claim {
-            memory: Rc::clone(memory),
-            bytes: 0,
-        }
-    }
-
-    /// Claims this much in all. Returns false, and changes nothing, if there is not enough memory.
-    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
-        if bytes > self.bytes {
-            return self.grow(bytes - self.bytes);
-        }
-        let used_bytes = &self.memory.used_bytes;
-        used_bytes.set(used_bytes.get() - (self.bytes - bytes));
-        self.bytes = bytes;
-        true
-    }
-
-    /// Claims more memory. Returns false if there is not enough.
-    fn grow(&mut self, bytes: usize) -> bool {
-        let fits = self.memory.has_room_for(bytes);
-        if fits {
-            let used_bytes = &self.memory.used_bytes;
-            used_bytes.set(used_bytes.get() + bytes);
-            self.bytes += bytes;
-        }
-        fits
-    }
-}
-
-impl Drop for Claim {
-    fn drop(&mut self) {
-        let used_bytes = &self.memory.used_bytes;
-        used_bytes.set(used_bytes.get() - self.bytes);
-    }
+/// The part of a request body of this length that counts.
+fn counted_request_bytes(body_bytes: usize) -> usize {
+    body_bytes.saturating_sub(FREE_REQUEST_BYTES)
 }
 
 /// A body that was read, and its memory.
@@ -149,17 +79,17 @@
 /// Reads a request body within a time. One that does not fit at the moment is refused at once if its
 /// sender announces the length. The rest of a body beyond a limit is discarded.
 pub(crate) async fn collect_request(
-    memory: &Rc<BodyMemory>,
+    account: &Rc<MemoryAccount>,
     mut body: Incoming,
     max_bytes: usize,
     timeout: Duration,
 ) -> Result<Collected, CollectError> {
     let announced_bytes = announced_bytes(&body);
-    let has_room = memory.has_room_for(memory.counted_bytes(announced_bytes));
+    let has_room = account.has_room_for(counted_request_bytes(announced_bytes));
     let collected = match announced_bytes <= max_bytes && !has_room {
         true => Err(CollectError::OutOfMemory),
         false => {
-            let reading = collect(memory, &mut body, max_bytes);
+            let reading = collect(account, &mut body, max_bytes, counted_request_bytes);
             let read = tokio::time::timeout(timeout, reading).await;
             read.unwrap_or(Err(CollectError::TimedOut))
         }
@@ -173,27 +103,29 @@
 /// Reads a response body. Unlike a request, it is worth reading even if it does not fit at the
 /// moment: the request has run.
 pub(crate) async fn collect_response(
-    memory: &Rc<BodyMemory>,
+    account: &Rc<MemoryAccount>,
     mut body: Incoming,
 ) -> Result<Bytes, CollectError> {
-    let collected = collect(memory, &mut body, MAX_RESPONSE_BYTES).await;
+    let collected = collect(account, &mut body, MAX_RESPONSE_BYTES, |bytes| bytes).await;
     collected.map(|collected| collected.content)
 }
 
-/// Reads a body of at most `max_bytes` to its end.
+/// Reads a body of at most `max_bytes` to its end. `counted_bytes` tells how much of a length is
+/// claimed from the account.
 ///
 /// # Errors
 ///
 /// If the body breaks off or exceeds a limit. The rest of it is not read.
 async fn collect(
-    memory: &Rc<BodyMemory>,
+    account: &Rc<MemoryAccount>,
     body: &mut Incoming,
     max_bytes: usize,
+    counted_bytes: fn(usize) -> usize,
 ) -> Result<Collected, CollectError> {
     if announced_bytes(body) > max_bytes {
         return Err(CollectError::TooLong);
     }
-    let mut claim = Claim::new(memory);
+    let mut claim = Claim::new(account);
     let mut body_bytes = 0;
     // The blocks are joined once at the end: a buffer that grows would take three times the
     // length of the body. They are filled by copying, since a body may arrive in tiny pieces.
@@ -207,7 +139,7 @@
         if body_bytes > max_bytes {
             return Err(CollectError::TooLong);
         }
-        if !claim.resize(memory.counted_bytes(body_bytes)) {
+        if !claim.resize(counted_bytes(body_bytes)) {
             return Err(CollectError::OutOfMemory);
         }
         append(&mut blocks, &data);
--- a/crates/gateway/src/edge/listen.rs
+++ b/crates/gateway/src/edge/listen.rs
@@ -82,7 +82,7 @@
     let for_metrics = Rc::clone(&edge);
     let report = move |uri: &Uri| match uri.path() {
         EXPLAIN_PATH => explain::respond(&for_metrics, uri),
-        _ => (StatusCode::OK, for_metrics.metrics.text()),
+        _ => (StatusCode::OK, for_metrics.metrics_text()),
     };
     tokio::task::spawn_local(serve_text(metrics, report));
     wait_for_shutdown_signal().await?;
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -14,6 +14,7 @@
 mod limits;
 pub(crate) mod listen;
 mod members;
+mod memory;
 mod placement;
 mod pool;
 mod program_admission;
@@ -39,10 +40,11 @@
 use crate::directory::MetadataStore;
 use crate::durations::Durations;
 use crate::edge::call::AdmittedCall;
-use crate::edge::collect::BodyMemory;
+use crate::edge::collect::{request_account, response_account};
 use crate::edge::crashes::LostRequests;
 use crate::edge::exchange::OutgoingRequest;
 use crate::edge::hedge::Hedger;
+use crate::edge::memory::MemoryAccount;
 use crate::edge::pool::Pool;
 use crate::edge::program_admission::ProgramGate;
 use crate::edge::refusal::Refusal;
@@ -65,6 +67,7 @@
 };
 pub use listen::run;
 pub use members::{ChainLookup, Members, NoQuorum};
+pub(crate) use memory::MemoryUsage;
 
 /// Size of the cache of finished turns, in bytes: a few hundred conversations of ten turns of
 /// 3 KB.
@@ -104,9 +107,11 @@
     suspects: RefCell<SuspectTable>,
     pub turns: RefCell<TurnCache>,
     /// Memory of the request bodies.
-    pub request_memory: Rc<BodyMemory>,
+    pub request_memory: Rc<MemoryAccount>,
     /// Memory of the response bodies that are being read.
-    pub response_memory: Rc<BodyMemory>,
+    pub response_memory: Rc<MemoryAccount>,
+    /// Memory of the prompts that were built from stored turns.
+    pub prompt_memory: Rc<MemoryAccount>,
     /// By program: the endpoint that handled its last request. The next one prefers it.
     pub affinity: RefCell<HashMap<String, String>>,
     /// By turn: the endpoint that ran it, which holds its history.
@@ -157,8 +162,9 @@
             program_gate,
             hedger: RefCell::new(Hedger::new(settings.hedging)),
             settings,
-            request_memory: Rc::new(BodyMemory::for_requests(memory_mb)),
-            response_memory: Rc::new(BodyMemory::for_responses(memory_mb)),
+            request_memory: Rc::new(request_account(memory_mb)),
+            response_memory: Rc::new(response_account(memory_mb)),
+            prompt_memory: Rc::new(MemoryAccount::unlimited("prompts")),
             protocol,
             store,
             configuration: RefCell::default(),
@@ -298,6 +304,21 @@
         durations.record(&admitted.route.name, elapsed_ms);
     }
 
+    /// All metrics in the Prometheus text format.
+    fn metrics_text(&self) -> String {
+        let accounts = [
+            &self.request_memory,
+            &self.response_memory,
+            &self.prompt_memory,
+        ];
+        for account in accounts {
+            self.metrics.set_memory(account.usage());
+        }
+        self.metrics
+            .set_cached_turns(self.turns.borrow().size_bytes());
+        self.metrics.text()
+    }
+
     /// Logs how many successful responses were left out of the log since the last call.
     fn log_omitted_responses(&self) {
         let count = self.response_log_budget.borrow_mut().take_omitted();
--- a/crates/gateway/src/edge/stream_memory.rs
+++ b/crates/gateway/src/edge/stream_memory.rs
@@ -11,7 +11,7 @@
 
 use tokio::sync::Notify;
 
-use crate::edge::collect::{BodyMemory, Claim};
+use crate::edge::memory::{Claim, MemoryAccount};
 
 /// Memory of a stream that needs no claim, in bytes.
 const FREE_BYTES: usize = 32 << 10;
@@ -50,10 +50,10 @@
 }
 
 impl StreamMemory {
-    pub(crate) fn new(memory: &Rc<BodyMemory>) -> StreamMemory {
+    pub(crate) fn new(account: &Rc<MemoryAccount>) -> StreamMemory {
         StreamMemory {
             queue: Rc::default(),
-            claim: Claim::new(memory),
+            claim: Claim::new(account),
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,10 +5,11 @@
 
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::balance::PickReason;
+use crate::edge::MemoryUsage;
 use crate::retry::Outcome;
 
 /// Histogram buckets for latencies, in seconds: from a plain service without load up to the
@@ -35,6 +36,9 @@
     programs: IntCounterVec,
     program_share: GaugeVec,
     queueing_turns: GaugeVec,
+    memory_bytes: IntGaugeVec,
+    memory_peak_bytes: IntGaugeVec,
+    cached_turn_bytes: IntGauge,
     open_connections: Rc<Cell<usize>>,
     open_calls: Rc<Cell<usize>>,
 }
@@ -67,6 +71,11 @@
     GaugeVec::new(Opts::new(name, help), labels).expect("the names of metrics are valid")
 }
 
+fn int_gauge(name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    IntGaugeVec::new(Opts::new(name, help), labels)
+        .expect("the names of metrics are valid")
+}
+
 impl Metrics {
     /// Creates and registers all metrics.
     pub(crate) fn new() -> Metrics {
@@ -142,6 +151,21 @@
             "Expected queueing time of a new turn relative to the time of a turn, by service",
             &["service"],
         );
+        let memory_bytes = int_gauge(
+            "jayreel_memory_bytes",
+            "Memory that requests use, by purpose",
+            &["purpose"],
+        );
+        let memory_peak_bytes = int_gauge(
+            "jayreel_memory_peak_bytes",
+            "Most memory that requests have used at the same time, by purpose",
+            &["purpose"],
+        );
+        let cached_turn_bytes = IntGauge::new(
+            "jayreel_cached_turn_bytes",
+            "Memory of the cache of finished turns",
+        )
+        .expect("the names of metrics are valid");
         let registry = Registry::new();
         let collectors: Vec<Box<dyn prometheus::core::Collector>> = vec![
             Box::new(first_byte_s.clone()),
@@ -159,6 +183,9 @@
             Box::new(programs.clone()),
             Box::new(program_share.clone()),
             Box::new(queueing_turns.clone()),
+            Box::new(memory_bytes.clone()),
+            Box::new(memory_peak_bytes.clone()),
+            Box::new(cached_turn_bytes.clone()),
         ];
         for collector in collectors {
             registry
@@ -182,6 +209,9 @@
             programs,
             program_share,
             queueing_turns,
+            memory_bytes,
+            memory_peak_bytes,
+            cached_turn_bytes,
             open_connections: Rc::default(),
             open_calls: Rc::default(),
         }
@@ -273,6 +303,20 @@
         self.evacuated_zones.set(zones as i64);
     }
 
+    /// Records the memory of one purpose.
+    pub(crate) fn set_memory(&self, usage: MemoryUsage) {
+        let labels = [usage.purpose];
+        let used_bytes = self.memory_bytes.with_label_values(&labels);
+        used_bytes.set(usage.used_bytes as i64);
+        let peak_bytes = self.memory_peak_bytes.with_label_values(&labels);
+        peak_bytes.set(usage.peak_bytes as i64);
+    }
+
+    /// Records the memory of the cache of finished turns.
+    pub(crate) fn set_cached_turns(&self, bytes: usize) {
+        self.cached_turn_bytes.set(bytes as i64);
+    }
+
     /// Counts a caller's connection as open until the guard is dropped.
     pub(crate) fn open_connection(&self) -> OpenGuard {
         open(&self.open_connections)
