Store all events of a turn that its caller resumes

The prompt of the next turn lacks events 1 to 4.

Cause: the record of a turn held the events of the last attempt only. The caller's last event was taken for the last one recorded, and passed on to the endpoint.

Evidence: the body in the case's record is the input, events 5 to 10 and the new input.

Change: on routes that store turns, the endpoint starts from the first event. All events are recorded, and those that the caller has are not sent to it. A stream that ends before the caller's last event is interrupted and not stored. event=stream_replayed is logged.

It works since a stream may be resumed anywhere only if each endpoint has the same events for a request.

--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -42,6 +42,9 @@
 /// Reason of an interruption by an event without end.
 const EVENT_TOO_LARGE: &str = "event too large";
 
+/// Reason of an interruption by the end of a stream that lacks events which the caller has.
+const ENDED_TOO_SOON: &str = "ended before the caller's last event";
+
 /// Reason of an interruption because streams take too much memory.
 const OUT_OF_MEMORY: &str = "out of memory";
 
@@ -90,8 +93,14 @@
     tried: Vec<String>,
     /// The endpoint to which it was last sent.
     current: Option<Pick>,
-    /// Identifier of the last event queued for the caller. Another endpoint continues after it.
+    /// Identifier of the last event that was recorded, and queued for the caller unless the caller has
+    /// it. Another endpoint continues after it.
     last_event_id: Option<u64>,
+    /// Identifier of the last event that the caller has from an earlier attempt, if the turn is to be
+    /// stored. Its record needs all events, so the endpoint starts from the first one.
+    replayed_event_id: Option<u64>,
+    /// Tokens of the events that were recorded but not sent to the caller.
+    replayed_tokens: u32,
     /// Data of the events so far, if the turn is to be stored.
     output: BytesMut,
     memory: StreamMemory,
@@ -125,9 +134,23 @@
         reservation: Option<BudgetReservation>,
         unfinished_turn: Option<TurnRecord>,
     ) -> StreamCall {
+        let resumed_event_id = admitted.call.last_event_id;
+        let (last_event_id, replayed_event_id) = match unfinished_turn {
+            Some(_) => (None, resumed_event_id),
+            None => (resumed_event_id, None),
+        };
+        if let Some(event) = replayed_event_id {
+            log::info!(
+                "event=stream_replayed request={} program={} caller_event={event}",
+                admitted.call.request_id,
+                admitted.program().unwrap_or("none"),
+            );
+        }
         StreamCall {
             edge: Rc::clone(edge),
-            last_event_id: admitted.call.last_event_id,
+            last_event_id,
+            replayed_event_id,
+            replayed_tokens: 0,
             admitted,
             reservation,
             unfinished_turn,
@@ -226,7 +249,8 @@
     fn excess(&self, event: &StreamEvent) -> Option<&'static str> {
         let max_tokens = self.admitted.call.reserved_tokens();
         let reservation = self.reservation.as_ref();
-        let used_tokens = reservation.map(|kept| kept.settlement.used_tokens);
+        let used_tokens =
+            reservation.map(|kept| kept.settlement.used_tokens + self.replayed_tokens);
         let data_bytes = event.data.as_ref().map_or(0, Vec::len);
         match used_tokens {
             Some(used_tokens) if used_tokens >= max_tokens => Some("too many tokens"),
@@ -238,11 +262,30 @@
         }
     }
 
-    /// Charges the budget for an event that is about to be queued for the caller, and adds its data
-    /// to the turn's output.
-    fn record(&mut self, event: &StreamEvent) {
-        if let Some(reservation) = &mut self.reservation {
-            reservation.charge(self.admitted.event_tokens);
+    /// Whether the caller has an event from an earlier attempt.
+    fn is_replayed(&self, event: &StreamEvent) -> bool {
+        let Some(replayed_id) = self.replayed_event_id else {
+            return false;
+        };
+        match event.id {
+            Some(id) => id <= replayed_id,
+            None => self.last_event_id.is_none_or(|last| last < replayed_id),
+        }
+    }
+
+    /// Whether a stream that ends now lacks events which the caller has.
+    fn lacks_replayed_events(&self) -> bool {
+        self.replayed_event_id > self.last_event_id
+    }
+
+    /// Adds an event to the turn's output, and charges the budget for one that is about to be queued
+    /// for the caller.
+    fn record(&mut self, event: &StreamEvent, is_replayed: bool) {
+        let event_tokens = self.admitted.event_tokens;
+        match &mut self.reservation {
+            _ if is_replayed => self.replayed_tokens += event_tokens,
+            Some(reservation) => reservation.charge(event_tokens),
+            None => {}
         }
         if let (Some(_), Some(data)) = (&self.unfinished_turn, &event.data) {
             self.output.extend_from_slice(data);
@@ -257,8 +300,13 @@
             let time_left = Duration::from_millis(self.admitted.time_left_ms());
             let frame = match tokio::time::timeout(time_left, stream.body.frame()).await {
                 Err(_) => return StreamProgress::Interrupted("timed out"),
-                Ok(None) if stream.reader.is_at_boundary() => return StreamProgress::End,
-                Ok(None) => return StreamProgress::Interrupted(ENDED_WITHIN_EVENT),
+                Ok(None) if !stream.reader.is_at_boundary() => {
+                    return StreamProgress::Interrupted(ENDED_WITHIN_EVENT);
+                }
+                Ok(None) if self.lacks_replayed_events() => {
+                    return StreamProgress::Interrupted(ENDED_TOO_SOON);
+                }
+                Ok(None) => return StreamProgress::End,
                 Ok(Some(Err(_))) => {
                     return StreamProgress::Interrupted(CONNECTION_LOST);
                 }
@@ -455,8 +503,9 @@
         if let Some(reason) = call.excess(&event) {
             return Queued::Excess(reason);
         }
-        call.record(&event);
-        if queue_event(call, event.raw, sender).await.is_none() {
+        let is_replayed = call.is_replayed(&event);
+        call.record(&event, is_replayed);
+        if !is_replayed && queue_event(call, event.raw, sender).await.is_none() {
             return Queued::CallerGone;
         }
     }
