Count responses until slow callers have taken them

Callers whose responses arrive at the same time got 502 for requests that had run.

A response was claimed only until it had been received.

Evidence: 93 MB of resident memory on a process with 88 MB, with at most 11 MB claimed.

Change: the claim belongs to the bytes that wait in the caller's connection. A response for which there is no memory is forwarded as fast as its caller reads, within the same limit on its length. Bodies of announced length are read into one buffer, not into blocks that are joined.

It works since what waits for callers is either claimed or in a queue of 64 KiB.

Tests: responses_for_slow_callers_are_bounded_and_delivered failed before (93 MB), 33 MB after with all responses whole. Beside it, request_bodies_of_all_callers_are_bounded_together 42 MB, and the cases of bytes_without_end_to_many_requests for bodies and chunks passed.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -21,10 +21,11 @@
     find_route, overload_refusal, quota_request, read_body,
 };
 use crate::edge::body::CallBody;
-use crate::edge::collect::{CollectError, Collected, collect_response};
+use crate::edge::collect::{CollectError, Collected};
 use crate::edge::exchange::{
     EndpointResponse, OutgoingRequest, SendTimeouts, send, set_aside,
 };
+use crate::edge::forward::read_body as read_response_body;
 use crate::edge::hedge::{Answered, HedgedSend, SendProgress};
 use crate::edge::history::assemble_prompt;
 use crate::edge::members::STORAGE_FULL_PAUSE_MS;
@@ -323,8 +324,8 @@
     target.map_or_else(|| parts.uri.clone(), hyper::Uri::from)
 }
 
-/// Runs a request without streaming. The response is buffered completely, so if it breaks
-/// off, the request can be sent to another endpoint where the route allows that.
+/// Runs a request without streaming. The response is buffered completely if there is memory for
+/// it, so if it breaks off, the request can be sent to another endpoint where the route allows that.
 async fn run_plain(
     edge: &Rc<Edge>,
     admitted: &AdmittedCall,
@@ -407,15 +408,9 @@
     upstream: EndpointResponse,
 ) -> Result<Response<CallBody>, CollectError> {
     let time_left = Duration::from_millis(admitted.time_left_ms());
-    let collected = collect_response(&edge.response_memory, upstream.body);
-    let collected = tokio::time::timeout(time_left, collected).await;
-    let content = collected.unwrap_or(Err(CollectError::TimedOut))?;
+    let body = read_response_body(edge, upstream.body, upstream.connection, time_left);
     let headers = edge.protocol.caller_headers(&upstream.headers);
-    upstream.connection.release();
-    let mut response = Response::new(CallBody::Buffered(Some(content)));
-    *response.status_mut() = upstream.status;
-    *response.headers_mut() = headers;
-    Ok(response)
+    Ok(body.await?.into_response(upstream.status, headers))
 }
 
 /// Picks an endpoint that is not in `tried`, or returns the final response for the caller.
--- a/crates/gateway/src/edge/collect.rs
+++ b/crates/gateway/src/edge/collect.rs
@@ -10,7 +10,7 @@
 use crate::edge::memory::{Claim, MemoryAccount};
 
 /// Largest body of a response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Share of the memory limit for all response bodies that are being read, as a divisor.
 const RESPONSES_DIVISOR: usize = 8;
@@ -22,7 +22,7 @@
 /// others away. Longer than almost all.
 const FREE_REQUEST_BYTES: usize = 32 << 10;
 
-/// Size of the blocks into which a body is read, in bytes.
+/// Size of the blocks into which a body of unknown length is read, in bytes.
 const BLOCK_BYTES: usize = 64 << 10;
 
 /// Why a body could not be read.
@@ -92,9 +92,13 @@
     let collected = match announced_bytes <= max_bytes && !account.has_room_for(bytes) {
         true => Err(CollectError::OutOfMemory { bytes }),
         false => {
-            let reading = collect(account, &mut body, max_bytes, counted_request_bytes);
+            let mut blocks = Blocks::for_body(&body);
+            let mut claim = Claim::new(account);
+            let reading =
+                blocks.collect(&mut claim, &mut body, max_bytes, counted_request_bytes);
             let read = tokio::time::timeout(timeout, reading).await;
-            read.unwrap_or(Err(CollectError::TimedOut))
+            let read = read.unwrap_or(Err(CollectError::TimedOut));
+            read.map(|()| blocks.join(claim))
         }
     };
     if let Err(CollectError::TooLong | CollectError::OutOfMemory { .. }) = collected {
@@ -103,60 +107,138 @@
     collected
 }
 
-/// Reads a response body. Unlike a request, it is worth reading even if it does not fit at the
-/// moment: the request has run.
-pub(crate) async fn collect_response(
-    account: &Rc<MemoryAccount>,
-    mut body: Incoming,
-) -> Result<Bytes, CollectError> {
-    let collected = collect(account, &mut body, MAX_RESPONSE_BYTES, |bytes| bytes).await;
-    collected.map(|collected| collected.content)
+/// A response body, as far as there is memory for it.
+#[derive(Debug)]
+pub(crate) enum CollectedResponse {
+    /// All of it.
+    Whole(Collected),
+    /// The beginning, in order. There is not enough memory for the rest, which has not been read.
+    Part {
+        blocks: Vec<Bytes>,
+        claim: Claim,
+        rest: Incoming,
+    },
 }
 
-/// Reads a body of at most `max_bytes` to its end. `counted_bytes` tells how much of a length is
-/// claimed from the account.
+/// Reads a response body. Unlike a request, one that does not fit at the moment is not rejected: the
+/// request has run.
 ///
 /// # Errors
 ///
-/// If the body breaks off or exceeds a limit. The rest of it is not read.
-async fn collect(
+/// If the body breaks off or is too long.
+pub(crate) async fn collect_response(
     account: &Rc<MemoryAccount>,
-    body: &mut Incoming,
-    max_bytes: usize,
-    counted_bytes: fn(usize) -> usize,
-) -> Result<Collected, CollectError> {
-    if announced_bytes(body) > max_bytes {
-        return Err(CollectError::TooLong);
-    }
+    mut body: Incoming,
+) -> Result<CollectedResponse, CollectError> {
+    let mut blocks = Blocks::for_body(&body);
     let mut claim = Claim::new(account);
-    let mut body_bytes = 0;
-    // The blocks are joined once at the end: a buffer that grows would take three times the
-    // length of the body. They are filled by copying, since a body may arrive in tiny pieces.
-    let mut blocks: Vec<BytesMut> = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| CollectError::BrokenOff)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        body_bytes += data.len();
-        if body_bytes > max_bytes {
+    let max_bytes = MAX_RESPONSE_BYTES;
+    match blocks
+        .collect(&mut claim, &mut body, max_bytes, |bytes| bytes)
+        .await
+    {
+        Ok(()) => Ok(CollectedResponse::Whole(blocks.join(claim))),
+        Err(CollectError::OutOfMemory { .. }) => {
+            account.record_limit();
+            Ok(CollectedResponse::Part {
+                blocks: blocks.into_vec(),
+                claim,
+                rest: body,
+            })
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Content of a body that is being read.
+///
+/// A body of announced length has one block. The blocks of others are joined once at the end: a
+/// buffer that grows would take three times the length of the body. They are filled by copying,
+/// since a body may arrive in tiny pieces.
+struct Blocks {
+    blocks: Vec<BytesMut>,
+    /// Capacity of each new block.
+    block_bytes: usize,
+    body_bytes: usize,
+}
+
+impl Blocks {
+    fn for_body(body: &Incoming) -> Blocks {
+        Blocks {
+            blocks: Vec::new(),
+            block_bytes: match announced_bytes(body) {
+                0 => BLOCK_BYTES,
+                announced_bytes => announced_bytes,
+            },
+            body_bytes: 0,
+        }
+    }
+
+    /// Reads a body of at most `max_bytes` to its end. `counted_bytes` tells how much of a length
+    /// is claimed.
+    ///
+    /// # Errors
+    ///
+    /// If the body breaks off or exceeds a limit. The rest of it is not read. What has been read is
+    /// kept, also a piece for which nothing could be claimed.
+    async fn collect(
+        &mut self,
+        claim: &mut Claim,
+        body: &mut Incoming,
+        max_bytes: usize,
+        counted_bytes: fn(usize) -> usize,
+    ) -> Result<(), CollectError> {
+        if announced_bytes(body) > max_bytes {
             return Err(CollectError::TooLong);
         }
-        if !claim.resize(counted_bytes(body_bytes)) {
-            return Err(CollectError::OutOfMemory { bytes: data.len() });
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| CollectError::BrokenOff)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.body_bytes += data.len();
+            if self.body_bytes > max_bytes {
+                return Err(CollectError::TooLong);
+            }
+            self.append(&data);
+            if !claim.resize(counted_bytes(self.body_bytes)) {
+                return Err(CollectError::OutOfMemory { bytes: data.len() });
+            }
         }
-        append(&mut blocks, &data);
+        Ok(())
     }
-    if blocks.len() == 1 {
-        let content = blocks.remove(0).freeze();
-        return Ok(Collected { content, claim });
+
+    /// Appends data to the last block, and to new ones once that is full.
+    fn append(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            let room = self.blocks.last();
+            let room = room.map_or(0, |block| self.block_bytes - block.len());
+            let (first, rest) = data.split_at(room.min(data.len()));
+            match self.blocks.last_mut() {
+                Some(block) if room > 0 => block.extend_from_slice(first),
+                _ => self.blocks.push(BytesMut::with_capacity(self.block_bytes)),
+            }
+            data = rest;
+        }
     }
-    let mut content = BytesMut::with_capacity(body_bytes);
-    for block in blocks {
-        content.extend_from_slice(&block);
+
+    /// The content in one piece.
+    fn join(mut self, claim: Claim) -> Collected {
+        if self.blocks.len() == 1 {
+            let content = self.blocks.remove(0).freeze();
+            return Collected { content, claim };
+        }
+        let mut content = BytesMut::with_capacity(self.body_bytes);
+        for block in self.blocks {
+            content.extend_from_slice(&block);
+        }
+        let content = content.freeze();
+        Collected { content, claim }
+    }
+
+    fn into_vec(self) -> Vec<Bytes> {
+        self.blocks.into_iter().map(BytesMut::freeze).collect()
     }
-    let content = content.freeze();
-    Ok(Collected { content, claim })
 }
 
 /// Reads the rest of a request body that is not used, in the background, so that the caller can
@@ -172,16 +254,3 @@
         }
     }));
 }
-
-/// Appends data to the last block, and to new ones once that is full.
-fn append(blocks: &mut Vec<BytesMut>, mut data: &[u8]) {
-    while !data.is_empty() {
-        let room = blocks.last().map_or(0, |block| BLOCK_BYTES - block.len());
-        let (first, rest) = data.split_at(room.min(data.len()));
-        match blocks.last_mut() {
-            Some(block) if room > 0 => block.extend_from_slice(first),
-            _ => blocks.push(BytesMut::with_capacity(BLOCK_BYTES.min(data.len()))),
-        }
-        data = rest;
-    }
-}
--- a/crates/gateway/src/edge/memory.rs
+++ b/crates/gateway/src/edge/memory.rs
@@ -84,7 +84,7 @@
     pub used_bytes: usize,
     pub peak_bytes: usize,
     pub max_bytes: usize,
-    /// Requests that were rejected because there was not enough memory.
+    /// Claims that were rejected because there was not enough memory.
     pub rejected: u64,
 }
 
@@ -116,12 +116,17 @@
         bytes <= self.room_bytes()
     }
 
+    /// Records that there is not enough memory for a request or a response.
+    pub(crate) fn record_limit(&self) {
+        let used_bytes = self.used_bytes.get() as u64;
+        self.gate.borrow_mut().rejects(now_ms(), true, used_bytes);
+    }
+
     /// Records that a request which needs so many bytes is rejected. Returns the time after which
     /// there may be room for it, in milliseconds.
     pub fn reject(&self, bytes: usize) -> u64 {
+        self.record_limit();
         let now_ms = now_ms();
-        let used_bytes = self.used_bytes.get() as u64;
-        self.gate.borrow_mut().rejects(now_ms, true, used_bytes);
         let missing_bytes = bytes.saturating_sub(self.room_bytes());
         let mut releases = self.releases.borrow_mut();
         let wait_ms = releases.time_for_ms(now_ms, missing_bytes);
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod exchange;
 mod explain;
+mod forward;
 mod hedge;
 mod history;
 mod limits;
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -99,7 +99,7 @@
             "{{\"error\":{{\"code\":\"{}\",\"ran\":\"{ran}\"}}}}\n",
             self.reason
         );
-        let mut response = Response::new(CallBody::Buffered(Some(Bytes::from(content))));
+        let mut response = Response::new(CallBody::buffered(Bytes::from(content)));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(
--- a/crates/gateway/src/edge/stream.rs
+++ b/crates/gateway/src/edge/stream.rs
@@ -7,7 +7,6 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use jayreel_ledger::{MAX_TURN_OUTPUT_BYTES, Reservation, Settlement, TurnRecord};
 use tokio::sync::mpsc;
@@ -17,8 +16,8 @@
 use crate::edge::Edge;
 use crate::edge::body::{BodyChunk, CallBody};
 use crate::edge::call::{AdmittedCall, final_refusal, pick_endpoint};
-use crate::edge::collect::collect_response;
 use crate::edge::exchange::{EndpointResponse, PooledConnection, send};
+use crate::edge::forward::read_body;
 use crate::edge::hedge::{Answered, HedgedSend};
 use crate::edge::refusal::Refusal;
 use crate::edge::stream_memory::StreamMemory;
@@ -383,14 +382,11 @@
                 call.wait_for_crash_check().await;
             }
             first => {
-                let mut headers = call.edge.protocol.caller_headers(&upstream.headers);
-                headers.remove(CONTENT_LENGTH);
+                let headers = call.edge.protocol.caller_headers(&upstream.headers);
                 let (sender, receiver) = mpsc::channel(MAX_QUEUED_PIECES);
                 tokio::task::spawn_local(forward_events(call, stream, first, sender));
-                let mut response = Response::new(CallBody::streamed(receiver));
-                *response.status_mut() = upstream.status;
-                *response.headers_mut() = headers;
-                return Ok(response);
+                let body = CallBody::streamed(receiver);
+                return Ok(body.into_response(upstream.status, headers));
             }
         }
     }
@@ -404,18 +400,14 @@
     stream: EndpointStream,
 ) -> Result<Response<CallBody>, Refusal> {
     let time_left = Duration::from_millis(call.admitted.time_left_ms());
-    let collected = collect_response(&call.edge.response_memory, stream.body);
-    let collected = tokio::time::timeout(time_left, collected).await;
-    let Ok(Ok(content)) = collected else {
+    let body = read_body(&call.edge, stream.body, stream.connection, time_left);
+    let Ok(body) = body.await else {
         return Err(final_refusal(&call.admitted, Step::FailUnknown));
     };
-    stream.connection.release();
     call.edge
         .clear_suspicion(&call.admitted.outgoing.fingerprints);
-    let mut response = Response::new(CallBody::Buffered(Some(content)));
-    *response.status_mut() = status;
-    *response.headers_mut() = call.edge.protocol.caller_headers(&headers);
-    Ok(response)
+    let headers = call.edge.protocol.caller_headers(&headers);
+    Ok(body.into_response(status, headers))
 }
 
 /// Forwards events until the stream is complete, the caller disconnects, or no endpoint continues
