--- a/crates/gateway/src/edge/collect.rs
+++ b/crates/gateway/src/edge/collect.rs
@@ -12,7 +12,8 @@
 /// Largest body of a response, in bytes.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// Share of the memory limit for all response bodies that are being read, as a divisor.
+/// Share of the memory limit for all response bodies until their callers have taken them, as a
+/// divisor.
 const RESPONSES_DIVISOR: usize = 8;
 
 /// Share of the memory limit for all request bodies, as a divisor.
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -110,7 +110,7 @@
     fetches: RefCell<Fetches>,
     /// Memory of the request bodies.
     pub request_memory: Rc<MemoryAccount>,
-    /// Memory of the response bodies that are being read.
+    /// Memory of the response bodies that are being read, or that callers have not taken yet.
     pub response_memory: Rc<MemoryAccount>,
     /// By program: the endpoint that handled its last request. The next one prefers it.
     pub affinity: RefCell<HashMap<String, String>>,
--- a/crates/gateway/src/edge/turn_memory.rs
+++ b/crates/gateway/src/edge/turn_memory.rs
@@ -75,6 +75,10 @@
     }
 
     /// Claims memory for turns, and evicts cached turns that no request uses if necessary.
+    ///
+    /// # Errors
+    ///
+    /// If there is not enough memory even so.
     pub fn claim(&mut self, bytes: usize) -> Result<Claim, OutOfMemory> {
         self.make_room(bytes);
         Claim::of(&self.account, bytes).ok_or(OutOfMemory { bytes })
