--- a/crates/gateway/src/edge/history.rs
+++ b/crates/gateway/src/edge/history.rs
@@ -91,11 +91,11 @@
         return Ok(admitted.outgoing.body.clone());
     };
     let turns = read_conversation(edge, admitted, previous).await?;
-    let outputs = turns.iter().rev().flat_map(|turn| {
+    let earlier = turns.iter().rev().flat_map(|turn| {
         let record = &turn.record;
         [record.input.clone(), record.output.clone()]
     });
-    let mut segments: Vec<Bytes> = outputs.collect();
+    let mut segments: Vec<Bytes> = earlier.collect();
     segments.push(admitted.input.clone());
     let memory = Rc::new((turns, Rc::clone(&admitted.input_claim)));
     let prompt = SegmentedBody::new(segments, memory);
