--- /dev/null
+++ b/review/standin-3/retired_disk.rs
@@ -0,0 +1,181 @@
+//! A storage machine that is being retired loses its disk before it has handed over its records.
+//! Later, after the retirement has been reported as completed, another one loses its disk. With
+//! `CONTROL=1` only the second disk is lost.
+
+use std::net::TcpListener;
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::fleet::{Machine, ZONES, free_network, wait_until};
+use crate::http::call;
+use crate::store::Store;
+use crate::worker::{WORKER_ID, Worker};
+use crate::{Setup, Verdict};
+
+/// Number of turns that are kept.
+const TURNS: usize = 40;
+
+const HOST: &str = "host.example";
+const KEY: &str = "key-0001";
+
+/// The record of the storage group in the metadata store.
+const GROUP: &str = "jayreel/group";
+
+/// Time that a machine is down when it loses its disk.
+const DOWN: Duration = Duration::from_secs(1);
+
+/// `catchUpS` and `contactMs` of the settings, after which the loss of a machine is over.
+const CAUGHT_UP: Duration = Duration::from_millis(4_500 + 3_000);
+
+fn configuration() -> String {
+    format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"kept\",\"host\":\"{HOST}\",\
+         \"prefix\":\"/kept/\",\"type\":\"streaming\",\"timeoutMs\":3000,\"goalMs\":250,\
+         \"priority\":0,\"service\":\"engines\",\"maxAttempts\":2,\"retained\":true,\
+         \"retentionS\":60.0,\"public\":false,\"sticky\":true,\"resumable\":false,\
+         \"gapTargetMs\":150}}],\"services\":[{{\"name\":\"engines\",\
+         \"healthPath\":\"/healthz\",\"maxConns\":100,\"engine\":{{\"slots\":12,\
+         \"chunkTokens\":13}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+         \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"tenant-1\",\"apiKeys\":[\"{KEY}\"],\"ratePerS\":1000,\
+         \"burst\":1000}}]}}"
+    )
+}
+
+/// Sends a turn, and again after a refusal that says it has not run. Returns the last status and
+/// whether the body was whole.
+fn send_turn(setup: &Setup, edge: &Machine, id: &str, previous: Option<&str>) -> u16 {
+    let mut status = 0;
+    for attempt in 0..6 {
+        let request_id = match attempt {
+            0 => id.to_string(),
+            _ => format!("{id}-{attempt}"),
+        };
+        let mut headers = vec![
+            ("Host", HOST),
+            ("Request-Id", &request_id),
+            ("Deadline-Ms", "3000"),
+            ("Api-Key", KEY),
+            ("Program-Id", id),
+            ("Session-Id", id),
+            ("Model", "m"),
+            ("Token-Usage", "100,39"),
+            ("Token-Budget", "1000"),
+        ];
+        headers.extend(previous.map(|previous| ("Previous-Turn", previous)));
+        let timeout = Duration::from_secs(4);
+        let answer = call(edge.front(), "POST", "/kept/x", &headers, "input", timeout);
+        status = answer.as_ref().map_or(0, |answer| answer.status());
+        setup.record.line(&format!(
+            "turn {request_id} previous {} sent to {}: {status}",
+            previous.unwrap_or("none"),
+            edge.name
+        ));
+        match status {
+            200 if attempt == 0 => return 200,
+            // A turn with another identifier was kept.
+            200 => return 201,
+            429 | 503 => sleep(Duration::from_millis(300)),
+            _ => return status,
+        }
+    }
+    status
+}
+
+fn lose_disk(setup: &Setup, machine: &mut Machine, store: &Store) {
+    machine.kill();
+    machine.lose_disk();
+    setup.record.line(&format!("{} has lost its disk", machine.name));
+    sleep(DOWN);
+    machine.start(&setup.binary, store);
+    setup.record.line(&format!("{} is back", machine.name));
+}
+
+pub fn run(setup: &Setup) -> Verdict {
+    let could_not = |reason: &str| Verdict::CouldNotRun(reason.to_string());
+    let network = free_network();
+    let bind = || TcpListener::bind(format!("{network}.100:0")).expect("an address");
+    let store = Store::start(bind());
+    let worker = Worker::start(bind());
+    store.put("op/config", &configuration());
+    let entry = format!(
+        "{{\"service\":\"engines\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+         \"slots\":12,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1}}",
+        worker.address, ZONES[0]
+    );
+    store.put(&format!("servers/{WORKER_ID}"), &entry);
+
+    let machine = |host, is_storage, zone| {
+        Machine::new(&setup.folder, &network, host, is_storage, zone)
+    };
+    let mut storages: Vec<Machine> =
+        (0..3).map(|zone| machine(zone as u8 + 1, true, zone)).collect();
+    // The first one takes the turns, and the second one those that continue them.
+    let mut edges = [machine(4, false, 0), machine(5, false, 1)];
+    let all = storages.iter_mut().chain(&mut edges);
+    all.for_each(|machine| machine.start(&setup.binary, &store));
+    let is_ready = || edges.iter().all(Machine::is_ready);
+    if !wait_until(Duration::from_secs(20), is_ready) {
+        return could_not("the entry instances are not ready");
+    }
+    setup.record.line("ready");
+
+    let mut kept = Vec::new();
+    for number in 0..TURNS {
+        let id = format!("turn-{number:04}");
+        if send_turn(setup, &edges[0], &id, None) == 200 {
+            kept.push(id);
+        }
+    }
+    if kept.len() < TURNS / 2 {
+        return could_not("too few turns were answered");
+    }
+
+    let retired = storages[0].name.clone();
+    let writes = store.writes(GROUP);
+    store.put(&format!("op/retire/{retired}"), "{\"durationS\":8.5}");
+    setup.record.line(&format!("{retired} is to be retired"));
+    let has_left = || store.writes(GROUP) > writes;
+    if !wait_until(Duration::from_secs(15), has_left) {
+        return could_not("the retiring member does not leave the group");
+    }
+    setup.record.line(&format!("{retired} has left the group"));
+    if setup.has_trouble && !setup.has_control {
+        lose_disk(setup, &mut storages[0], &store);
+    }
+    let status = format!("status/retire/{retired}");
+    let is_completed = || store.text(&status).contains("\"completed\"");
+    let completed = wait_until(Duration::from_secs(20), is_completed);
+    setup.record.line(&format!("{status}: {}", store.text(&status)));
+    match completed {
+        // The machine and its disk are removed, as the status allows.
+        true => storages[0].kill(),
+        false if !setup.has_trouble => return could_not("the retirement does not end"),
+        // The machine stays, as its status says.
+        false => {}
+    }
+    sleep(CAUGHT_UP);
+    for number in 0..3 {
+        let id = format!("before-{number}");
+        setup.record.line(&format!("check: {}", send_turn(setup, &edges[1], &id, None)));
+    }
+    if setup.has_trouble {
+        lose_disk(setup, &mut storages[1], &store);
+    }
+    sleep(CAUGHT_UP);
+
+    let mut lost = 0;
+    for id in &kept {
+        let status = send_turn(setup, &edges[1], &format!("next-{id}"), Some(id));
+        lost += usize::from(status == 404 || status == 410);
+    }
+    let runs = worker.runs.lock().expect("no thread has panicked").len();
+    setup.record.line(&format!(
+        "{} turns were answered whole, {lost} of them are unknown; the worker ran {runs} requests",
+        kept.len()
+    ));
+    match lost {
+        0 => Verdict::Held,
+        _ => Verdict::Broken,
+    }
+}
