--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -137,6 +137,17 @@
         }
     }
 
+    /// Ends the process with SIGTERM, and with SIGKILL if it has not ended after `graceS`.
+    pub fn terminate(&mut self) {
+        let Some(child) = self.child.as_ref() else {
+            return;
+        };
+        let id = child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        wait_until(Duration::from_secs(8), || self.has_ended());
+        self.kill();
+    }
+
     /// Removes the disk folder's content. The process must be down.
     pub fn lose_disk(&mut self) {
         assert!(self.child.is_none());
