--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,7 +7,6 @@
 mod http;
 mod json;
 mod retired_disk;
-mod retirements;
 mod store;
 mod suspected_family;
 mod worker;
@@ -79,11 +78,6 @@
         has_control: std::env::var("CONTROL").as_deref() == Ok("1"),
     };
     let verdict = match scenario.as_str() {
-        "loss-during-retirement" => retirements::loss_during_retirement(&setup),
-        "replacement-during-retirement" => {
-            retirements::replacement_during_retirement(&setup)
-        }
-        "two-retirements" => retirements::two_retirements(&setup),
         "retired-disk" => retired_disk::run(&setup),
         "suspected-family" => suspected_family::run(&setup),
         _ => Verdict::CouldNotRun("unknown scenario".to_string()),
