--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -129,6 +129,10 @@
         self.child = Some(child);
     }
 
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,7 +6,9 @@
 mod fleet;
 mod http;
 mod json;
+mod overlapping_retirements;
 mod retired_disk;
+mod retiring_lost;
 mod store;
 mod suspected_family;
 mod worker;
@@ -78,6 +80,8 @@
         has_control: std::env::var("CONTROL").as_deref() == Ok("1"),
     };
     let verdict = match scenario.as_str() {
+        "overlapping-retirements" => overlapping_retirements::run(&setup),
+        "retiring-lost" => retiring_lost::run(&setup),
         "retired-disk" => retired_disk::run(&setup),
         "suspected-family" => suspected_family::run(&setup),
         _ => Verdict::CouldNotRun("unknown scenario".to_string()),
--- a/review/standin-3/retired_disk.rs
+++ b/review/standin-3/retired_disk.rs
@@ -103,7 +103,15 @@
 impl Deployment {
     /// `None` if the entry instances do not become ready.
     pub fn start(setup: &Setup) -> Option<Deployment> {
+        Deployment::start_with(setup, None)
+    }
+
+    /// Like `start`, but one storage machine starts a quarter of a second before the others. All
+    /// machines of a deployment start within 0.3 s of each other, in any order.
+    pub fn start_with(setup: &Setup, first: Option<usize>) -> Option<Deployment> {
         let network = free_network();
+        // Disks of an earlier deployment of the same scenario.
+        let _ = std::fs::remove_dir_all(&setup.folder);
         let bind = || TcpListener::bind(format!("{network}.100:0")).expect("an address");
         let store = Store::start(bind());
         let worker = Worker::start(bind());
@@ -121,8 +129,13 @@
         let mut storages: Vec<Machine> =
             (0..3).map(|zone| machine(zone as u8 + 1, true, zone)).collect();
         let mut edges = [machine(4, false, 0), machine(5, false, 1)];
+        if let Some(first) = first {
+            storages[first].start(&setup.binary, &store);
+            sleep(Duration::from_millis(250));
+        }
         let all = storages.iter_mut().chain(&mut edges);
-        all.for_each(|machine| machine.start(&setup.binary, &store));
+        let others = all.filter(|machine| !machine.is_running());
+        others.for_each(|machine| machine.start(&setup.binary, &store));
         let is_ready = || edges.iter().all(Machine::is_ready);
         if !wait_until(Duration::from_secs(20), is_ready) {
             return None;
